--- a/router/src/main/java/org/magnoliaseam/caller/BodyReader.java
+++ b/router/src/main/java/org/magnoliaseam/caller/BodyReader.java
@@ -10,7 +10,7 @@
 import org.magnoliaseam.time.MonotonicClock;
 
 /** Reads a request body within a size limit and a time limit, without holding a thread. */
-final class BodyReader {
+public final class BodyReader {
 
     /** The body. */
     private final Content.Source mSource;
@@ -39,7 +39,7 @@
      * @param clock the clock
      * @param done takes the outcome, once
      */
-    BodyReader(
+    public BodyReader(
             Content.Source source,
             int maxBytes,
             long deadlineNanos,
@@ -53,7 +53,7 @@
     }
 
     /** Reads what is there and asks for more until the body is whole or a limit is passed. */
-    void read() {
+    public void read() {
         while (true) {
             Content.Chunk chunk = mSource.read();
             if (chunk == null) {
--- a/router/src/main/java/org/magnoliaseam/caller/ErrorBody.java
+++ b/router/src/main/java/org/magnoliaseam/caller/ErrorBody.java
@@ -7,7 +7,7 @@
 import org.magnoliaseam.model.RequestId;
 
 /** Renders refusals for callers. */
-final class ErrorBody {
+public final class ErrorBody {
 
     /** Writes JSON. */
     private static final ObjectMapper MAPPER = new ObjectMapper();
@@ -23,7 +23,7 @@
      * @param ticket the ticket to send the request again with; empty if none
      * @return the JSON text
      */
-    static String render(Refusal refusal, RequestId id, String ticket) {
+    public static String render(Refusal refusal, RequestId id, String ticket) {
         ErrorKind kind = refusal.kind();
         ObjectNode root = MAPPER.createObjectNode();
         ObjectNode error = root.putObject("error");
--- a/router/src/main/java/org/magnoliaseam/cli/CommandTable.java
+++ b/router/src/main/java/org/magnoliaseam/cli/CommandTable.java
@@ -12,13 +12,15 @@
     /**
      * Creates the table.
      *
-     * @param launcher runs the router
+     * @param launcher runs the router where operators publish the files of the site
+     * @param storeLauncher runs the router where a metadata store publishes the site
      * @param renderer renders decision records
      */
-    public CommandTable(RouteLauncher launcher, DecisionRenderer renderer) {
+    public CommandTable(
+            RouteLauncher launcher, StoreRouteLauncher storeLauncher, DecisionRenderer renderer) {
         mCommands =
                 List.of(
-                        new RouteCommand(launcher),
+                        new RouteCommand(launcher, storeLauncher),
                         new CheckCommand(),
                         new StatusCommand(),
                         new BurnCommand(),
--- a/router/src/main/java/org/magnoliaseam/cli/Main.java
+++ b/router/src/main/java/org/magnoliaseam/cli/Main.java
@@ -1,6 +1,7 @@
 package org.magnoliaseam.cli;
 
 import java.util.Optional;
+import org.magnoliaseam.route.GatewayRunner;
 import org.magnoliaseam.route.ProcessRunner;
 
 /** Starts the program with the command that the caller names. */
@@ -19,7 +20,9 @@
      */
     public static void main(String[] args) {
         Console console = new Console(System.out, System.err);
-        CommandTable table = new CommandTable(ProcessRunner::run, new TextDecisionRenderer());
+        CommandTable table =
+                new CommandTable(
+                        ProcessRunner::run, GatewayRunner::run, new TextDecisionRenderer());
         System.exit(new Program(table, console, version()).run(args));
     }
 
--- a/router/src/main/java/org/magnoliaseam/cli/RouteCommand.java
+++ b/router/src/main/java/org/magnoliaseam/cli/RouteCommand.java
@@ -1,10 +1,13 @@
 package org.magnoliaseam.cli;
 
+import java.nio.file.Path;
 import java.util.List;
+import java.util.Locale;
 import org.apache.commons.cli.CommandLine;
 import org.apache.commons.cli.Options;
 import org.magnoliaseam.settings.Fault;
 import org.magnoliaseam.settings.load.LocalSettingsLoader;
+import org.magnoliaseam.settings.load.StoreSettingsLoader;
 
 /** Runs the router. */
 final class RouteCommand implements Command {
@@ -12,16 +15,41 @@
     /** The option that names the local settings file. */
     private static final String SETTINGS = "settings";
 
-    /** Runs the router. */
+    /** The option that names what publishes the site. */
+    private static final String PUBLISHER = "publisher";
+
+    /** Runs the router where operators publish the files of the site. */
     private final RouteLauncher mLauncher;
 
+    /** Runs the router where a metadata store publishes the site. */
+    private final StoreRouteLauncher mStoreLauncher;
+
+    /** Lists what may publish the routes and backend servers of a site. */
+    private enum Publisher {
+        /** The operators' base file and overlay. */
+        FILES,
+        /** A metadata store, in which backend servers register themselves. */
+        STORE;
+
+        /**
+         * Returns the word on the command line.
+         *
+         * @return the name in lower case
+         */
+        String text() {
+            return name().toLowerCase(Locale.ROOT);
+        }
+    }
+
     /**
      * Creates a command.
      *
-     * @param launcher runs the router
+     * @param launcher runs the router where operators publish the files of the site
+     * @param storeLauncher runs the router where a metadata store publishes the site
      */
-    RouteCommand(RouteLauncher launcher) {
+    RouteCommand(RouteLauncher launcher, StoreRouteLauncher storeLauncher) {
         mLauncher = launcher;
+        mStoreLauncher = storeLauncher;
     }
 
     @Override
@@ -31,7 +59,7 @@
 
     @Override
     public String synopsis() {
-        return "route --settings FILE";
+        return "route --settings FILE [--publisher files|store]";
     }
 
     @Override
@@ -42,17 +70,45 @@
     @Override
     public Options options() {
         return new Options()
-                .addOption(CommandOptions.required(SETTINGS, "FILE", "the local settings file"));
+                .addOption(CommandOptions.required(SETTINGS, "FILE", "the local settings file"))
+                .addOption(
+                        CommandOptions.optional(
+                                PUBLISHER, "WORD", "what publishes the site: files or store"));
     }
 
     @Override
     public int run(CommandLine line, Console console) throws UsageException {
         CommandOptions.requireNoArguments(line);
+        Path file = CommandOptions.file(line, SETTINGS);
+        if (publisher(line) == Publisher.STORE) {
+            return new StoreSettingsLoader()
+                    .load(file)
+                    .fold(
+                            settings -> mStoreLauncher.run(settings, file),
+                            faults -> report(faults, console));
+        }
         return new LocalSettingsLoader()
-                .load(CommandOptions.file(line, SETTINGS))
+                .load(file)
                 .fold(mLauncher::run, faults -> report(faults, console));
     }
 
+    /**
+     * Reads what publishes the site.
+     *
+     * @param line the command line
+     * @return the publisher; the operators' files if none is named
+     * @throws UsageException if the word is unknown
+     */
+    private static Publisher publisher(CommandLine line) throws UsageException {
+        String word = line.getOptionValue(PUBLISHER, Publisher.FILES.text());
+        for (Publisher publisher : Publisher.values()) {
+            if (publisher.text().equals(word)) {
+                return publisher;
+            }
+        }
+        throw new UsageException("--" + PUBLISHER + " must be files or store, not " + word);
+    }
+
     /**
      * Writes the faults of the settings file.
      *
--- /dev/null
+++ b/router/src/main/java/org/magnoliaseam/cli/StoreRouteLauncher.java
@@ -0,0 +1,18 @@
+package org.magnoliaseam.cli;
+
+import java.nio.file.Path;
+import org.magnoliaseam.settings.StoreSettings;
+
+/** Runs the router where a metadata store publishes the site. */
+@FunctionalInterface
+public interface StoreRouteLauncher {
+
+    /**
+     * Runs the router until it is stopped.
+     *
+     * @param settings the settings of the process
+     * @param file the file that they came from, which is read again when it changes
+     * @return the exit code of the process
+     */
+    int run(StoreSettings settings, Path file);
+}
--- /dev/null
+++ b/router/src/main/java/org/magnoliaseam/gateway/EventSplitter.java
@@ -0,0 +1,89 @@
+package org.magnoliaseam.gateway;
+
+import java.io.ByteArrayOutputStream;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+
+/** Cuts a byte stream into whole server-sent events without changing a byte. Not thread-safe. */
+final class EventSplitter {
+
+    /** The largest accepted event in bytes. */
+    private static final int MAX_EVENT_BYTES = 1024 * 1024;
+
+    /** The beginning of the line with the id of an event. */
+    private static final String ID_FIELD = "id:";
+
+    /**
+     * Holds one whole event.
+     *
+     * @param bytes its bytes with the blank line at its end
+     * @param id its id; empty if it has none
+     */
+    record Event(byte[] bytes, String id) {}
+
+    /** The bytes of the event that is not yet whole. */
+    private final ByteArrayOutputStream mEvent = new ByteArrayOutputStream(256);
+
+    /** The bytes of the current line so far. */
+    private final ByteArrayOutputStream mLine = new ByteArrayOutputStream(128);
+
+    /** The id of the event that is not yet whole. */
+    private String mId = "";
+
+    /**
+     * Takes bytes.
+     *
+     * @param bytes the bytes
+     * @return the events that they complete, in order
+     */
+    List<Event> feed(ByteBuffer bytes) {
+        List<Event> events = new ArrayList<>();
+        while (bytes.hasRemaining()) {
+            byte next = bytes.get();
+            mEvent.write(next);
+            if (next == '\n') {
+                endLine(events);
+            } else if (next != '\r') {
+                mLine.write(next);
+            }
+        }
+        return events;
+    }
+
+    /**
+     * Tells whether bytes of an event that is not whole are left.
+     *
+     * @return true if the stream ended inside an event
+     */
+    boolean partial() {
+        return mEvent.size() > 0;
+    }
+
+    /**
+     * Tells whether an event is larger than accepted; the stream is then unusable.
+     *
+     * @return true after too many bytes without the end of an event
+     */
+    boolean overflowed() {
+        return mEvent.size() > MAX_EVENT_BYTES;
+    }
+
+    /**
+     * Takes a whole line.
+     *
+     * @param events collects a completed event
+     */
+    private void endLine(List<Event> events) {
+        String line = mLine.toString(StandardCharsets.UTF_8);
+        mLine.reset();
+        if (line.isEmpty()) {
+            events.add(new Event(mEvent.toByteArray(), mId));
+            mEvent.reset();
+            mId = "";
+        } else if (line.startsWith(ID_FIELD)) {
+            mId = line.substring(ID_FIELD.length()).strip();
+        }
+    }
+}
--- /dev/null
+++ b/router/src/main/java/org/magnoliaseam/gateway/GatewayCall.java
@@ -0,0 +1,363 @@
+package org.magnoliaseam.gateway;
+
+import java.nio.ByteBuffer;
+import java.util.HashSet;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
+import org.magnoliaseam.backend.BackendFailure;
+import org.magnoliaseam.error.ErrorKind;
+import org.magnoliaseam.error.Executed;
+import org.magnoliaseam.error.Refusal;
+import org.magnoliaseam.exchange.AnswerHead;
+import org.magnoliaseam.model.BackendServerId;
+
+/** Serves one request: one try after another until a whole answer, a refusal or the deadline. */
+final class GatewayCall {
+
+    /** The sends that a request may need beyond the tries that may have run. */
+    private static final int EXTRA_SENDS = 2;
+
+    /** The share of the target that a request waits for a place before it is refused. */
+    private static final double WAIT_SHARE = 0.5;
+
+    /** The share of the remaining time after which a refused caller may come back. */
+    private static final double COME_BACK_SHARE = 0.2;
+
+    /** The shortest and the usual delay before a refused caller may come back in milliseconds. */
+    private static final long COME_BACK_MILLIS = 100;
+
+    /** The nanoseconds of a millisecond. */
+    private static final long NANOS_PER_MILLI = 1_000_000;
+
+    /** The request. */
+    private final GatewayRequest mRequest;
+
+    /** Takes the answer. */
+    private final GatewaySink mSink;
+
+    /** What the request uses. */
+    private final GatewayParts mParts;
+
+    /** Takes the call when it has ended. */
+    private final Consumer<GatewayCall> mOnEnd;
+
+    /** The account of the request. */
+    private final RequestRecord mRecord;
+
+    /** The backend servers that the request has met. */
+    private final Set<BackendServerId> mMet = new HashSet<>();
+
+    /** The try in progress; null if there is none. */
+    private GatewayTry mTry;
+
+    /** The tries that were sent. */
+    private int mSends;
+
+    /** The tries that may have run. */
+    private int mRuns;
+
+    /** Whether the head of the answer has been passed on. */
+    private boolean mOpened;
+
+    /** The id of the last event that was passed on, or that the caller had before. */
+    private String mLastEventId;
+
+    /** The local monotonic time since which the request waits for a place. */
+    private long mWaitingSinceNanos;
+
+    /** Why the request waits. */
+    private ErrorKind mWaitKind = ErrorKind.OVERLOADED;
+
+    /** Whether the request has ended. */
+    private boolean mEnded;
+
+    /**
+     * Creates a call.
+     *
+     * @param request the request
+     * @param sink takes the answer
+     * @param parts what the request uses
+     * @param onEnd takes the call when it has ended
+     */
+    GatewayCall(
+            GatewayRequest request,
+            GatewaySink sink,
+            GatewayParts parts,
+            Consumer<GatewayCall> onEnd) {
+        mRequest = request;
+        mSink = sink;
+        mParts = parts;
+        mOnEnd = onEnd;
+        mLastEventId = request.lastEventId();
+        mRecord = new RequestRecord(request);
+        mWaitingSinceNanos = request.arrivedNanos();
+    }
+
+    /**
+     * Returns the request.
+     *
+     * @return the request
+     */
+    GatewayRequest request() {
+        return mRequest;
+    }
+
+    /** Starts the first try. */
+    synchronized void begin() {
+        mParts.board().firstTry(mRequest);
+        place();
+    }
+
+    /** Ends the request at its deadline, gives up a silent try, or places a waiting request. */
+    synchronized void tick() {
+        if (mEnded) {
+            return;
+        }
+        long now = mParts.clock().nanos();
+        if (now - mRequest.deadlineNanos() >= 0) {
+            expire();
+        } else if (mTry == null) {
+            place();
+        } else if (mTry.silent(now) && mRequest.route().idempotent() && mayTryAgain()) {
+            mRecord.add("silent", mTry.server().id().value(), "", now);
+            mTry.giveUp();
+        }
+    }
+
+    /** Stops the request because its caller is gone. */
+    synchronized void callerGone() {
+        if (mEnded) {
+            return;
+        }
+        GatewayTry running = mTry;
+        mRecord.add("caller_gone", "", "", mParts.clock().nanos());
+        end("caller_gone");
+        if (running != null) {
+            running.giveUp();
+        }
+    }
+
+    /**
+     * Asks right before the first byte leaves whether a try may still be sent.
+     *
+     * @param sent the try
+     * @return true if it may
+     */
+    synchronized boolean sending(GatewayTry sent) {
+        return !mEnded && sent == mTry && mParts.board().confirm(sent.order());
+    }
+
+    /**
+     * Passes a whole answer on.
+     *
+     * @param from the try
+     * @param head status and header fields
+     * @param body the body
+     */
+    synchronized void answered(GatewayTry from, AnswerHead head, byte[] body) {
+        if (mEnded || from != mTry) {
+            return;
+        }
+        boolean serverError = head.status() >= 500;
+        mRuns++;
+        mRecord.add("answered", from.server().id().value(), "status=" + head.status(), now());
+        if (serverError && mRequest.route().idempotent() && mayTryAgain() && retry()) {
+            mMet.add(from.server().id());
+            mTry = null;
+            place();
+            return;
+        }
+        mTry = null;
+        mSink.head(head);
+        mSink.endWith(ByteBuffer.wrap(body));
+        end(head.status() < 300 ? "completed" : "answered_" + head.status());
+    }
+
+    /**
+     * Passes events of a stream on.
+     *
+     * @param from the try
+     * @param head status and header fields, which only the first try passes on
+     * @param events the bytes of whole events
+     * @param lastId the id of the last of them
+     * @return completes when the caller has room for more
+     */
+    synchronized CompletableFuture<Void> events(
+            GatewayTry from, AnswerHead head, ByteBuffer events, String lastId) {
+        if (mEnded || from != mTry) {
+            return CompletableFuture.failedFuture(new IllegalStateException("not the current try"));
+        }
+        if (!mOpened) {
+            mOpened = true;
+            mRecord.add("first_event", from.server().id().value(), "", now());
+            mSink.head(head);
+        }
+        mLastEventId = lastId.isEmpty() ? mLastEventId : lastId;
+        CompletableFuture<Void> written = mSink.write(events);
+        written.whenComplete(
+                (ignored, failure) -> {
+                    if (failure != null) {
+                        callerGone();
+                    }
+                });
+        return written;
+    }
+
+    /**
+     * Ends a stream that is whole.
+     *
+     * @param from the try
+     * @param head status and header fields
+     */
+    synchronized void streamEnded(GatewayTry from, AnswerHead head) {
+        if (mEnded || from != mTry) {
+            return;
+        }
+        mTry = null;
+        if (!mOpened) {
+            mSink.head(head);
+        }
+        mSink.end();
+        end("completed");
+    }
+
+    /**
+     * Takes the failure of a try and tries again where that is allowed.
+     *
+     * @param failed the try
+     * @param failure the kind of failure
+     * @param detail one sentence for the account
+     */
+    synchronized void failed(GatewayTry failed, BackendFailure failure, String detail) {
+        if (mEnded || failed != mTry) {
+            return;
+        }
+        mTry = null;
+        mRecord.add(failure.name().toLowerCase(), failed.server().id().value(), detail, now());
+        if (failure != BackendFailure.HELD_BACK) {
+            mMet.add(failed.server().id());
+        }
+        if (failure.mayHaveRun()) {
+            mRuns++;
+        }
+        if (failure.mayHaveRun() && !mRequest.route().idempotent()) {
+            fail(failure.errorKind());
+        } else if (!mayTryAgain() || !retry()) {
+            fail(mRuns > 0 ? failure.errorKind() : ErrorKind.BACKEND_REFUSED);
+        } else {
+            mWaitingSinceNanos = now();
+            place();
+        }
+    }
+
+    /** Places the request on a backend server, or lets it wait. */
+    private void place() {
+        Choice choice = mParts.board().choose(mRequest, mMet);
+        if (choice instanceof Choice.Start start) {
+            mSends++;
+            mRecord.add("sent", start.server().id().value(), start.reason(), now());
+            mTry = new GatewayTry(this, start, mParts, tryOrder(start));
+            mTry.start();
+            return;
+        }
+        mWaitKind = ((Choice.Wait) choice).kind();
+        if (waited() >= WAIT_SHARE * mRequest.route().targetMillis()) {
+            fail(mWaitKind);
+        }
+    }
+
+    /**
+     * Describes the next try.
+     *
+     * @param start the choice
+     * @return the try
+     */
+    private TryOrder tryOrder(Choice.Start start) {
+        return new TryOrder(
+                mRequest, start.server().entry(), mRequest.deadlineNanos(), mLastEventId);
+    }
+
+    /**
+     * Tells whether the request may be sent once more.
+     *
+     * @return true while tries are left
+     */
+    private boolean mayTryAgain() {
+        return mRuns < mRequest.route().maxTries()
+                && mSends < mRequest.route().maxTries() + EXTRA_SENDS;
+    }
+
+    /**
+     * Takes one more try out of the retry budget.
+     *
+     * @return true if the budget allows it
+     */
+    private boolean retry() {
+        boolean allowed = mParts.board().tryRetry(mRequest);
+        if (!allowed) {
+            mRecord.add("budget_used_up", "", "", now());
+        }
+        return allowed;
+    }
+
+    /** Ends the request at its deadline. */
+    private void expire() {
+        GatewayTry running = mTry;
+        if (running != null) {
+            mRuns++;
+        }
+        fail(mRuns > 0 ? ErrorKind.BACKEND_TIMEOUT : mWaitKind);
+        if (running != null) {
+            running.giveUp();
+        }
+    }
+
+    /**
+     * Ends the request without a whole answer.
+     *
+     * @param kind the kind of the refusal
+     */
+    private void fail(ErrorKind kind) {
+        boolean ran = mRuns > 0;
+        ErrorKind told = ran && kind.executed() == Executed.NO ? ErrorKind.BACKEND_FAILED : kind;
+        if (mOpened) {
+            mSink.breakOff();
+        } else {
+            long left = (mRequest.deadlineNanos() - now()) / NANOS_PER_MILLI;
+            long delay = Math.min(COME_BACK_MILLIS, (long) (left * COME_BACK_SHARE));
+            mSink.refuse(Refusal.of(told), ran ? 0 : Math.max(0, delay));
+        }
+        end((mOpened ? "broken_off_" : "refused_") + told.text());
+    }
+
+    /**
+     * Returns the time that the request has waited for a place.
+     *
+     * @return the time in milliseconds
+     */
+    private double waited() {
+        return (now() - mWaitingSinceNanos) / (double) NANOS_PER_MILLI;
+    }
+
+    /**
+     * Returns the present moment.
+     *
+     * @return the local monotonic time
+     */
+    private long now() {
+        return mParts.clock().nanos();
+    }
+
+    /**
+     * Writes the account and forgets the request.
+     *
+     * @param outcome how it ended
+     */
+    private void end(String outcome) {
+        mEnded = true;
+        mTry = null;
+        mParts.log().ended(mRecord, outcome, now());
+        mOnEnd.accept(this);
+    }
+}
--- /dev/null
+++ b/router/src/main/java/org/magnoliaseam/gateway/GatewayRequest.java
@@ -0,0 +1,52 @@
+package org.magnoliaseam.gateway;
+
+import java.util.List;
+import java.util.Optional;
+import org.magnoliaseam.catalog.Account;
+import org.magnoliaseam.catalog.Route;
+import org.magnoliaseam.catalog.Service;
+import org.magnoliaseam.exchange.Header;
+import org.magnoliaseam.model.RequestId;
+
+/**
+ * Holds an authenticated request with its whole body.
+ *
+ * @param id the request
+ * @param account the client account; empty if the route is open
+ * @param route the route
+ * @param service the service that runs the request
+ * @param catalogVersion the version that decided route and account
+ * @param method the HTTP method
+ * @param target the path with query, as the caller sent it
+ * @param headers the header fields to pass on
+ * @param body the body
+ * @param prompt the prompt; {@link Prompt#NONE} for plain services
+ * @param lastEventId the last event that the caller has; empty if it starts from the beginning
+ * @param arrivedNanos the local monotonic time of arrival
+ * @param deadlineNanos the local monotonic time at which the caller or the route gives up
+ */
+public record GatewayRequest(
+        RequestId id,
+        Optional<Account> account,
+        Route route,
+        Service service,
+        long catalogVersion,
+        String method,
+        String target,
+        List<Header> headers,
+        byte[] body,
+        Prompt prompt,
+        String lastEventId,
+        long arrivedNanos,
+        long deadlineNanos) {
+
+    /**
+     * Returns the rank of the request, 0 first.
+     *
+     * @return the rank of the account, or of the route if the account has none
+     */
+    public int priority() {
+        int own = route.priority();
+        return account.map(found -> found.priority().orElse(own)).orElse(own);
+    }
+}
--- /dev/null
+++ b/router/src/main/java/org/magnoliaseam/gateway/RequestLog.java
@@ -0,0 +1,61 @@
+package org.magnoliaseam.gateway;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+
+/** Writes the account of each request as one JSON line. Thread-safe. */
+public final class RequestLog {
+
+    /** Takes the lines. */
+    private static final Logger LOG = LogManager.getLogger("records");
+
+    /** Writes JSON. */
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+
+    /** The nanoseconds of a millisecond. */
+    private static final double NANOS_PER_MILLI = 1e6;
+
+    /**
+     * Writes the account of a request that has ended.
+     *
+     * @param record the account
+     * @param outcome how the request ended
+     * @param nowNanos the local monotonic time
+     */
+    void ended(RequestRecord record, String outcome, long nowNanos) {
+        GatewayRequest request = record.request();
+        ObjectNode line = MAPPER.createObjectNode();
+        line.put("event", "request");
+        line.put("id", request.id().value());
+        line.put("route", request.route().name());
+        line.put("catalog", request.catalogVersion());
+        line.put("priority", request.priority());
+        line.put("prompt_tokens", request.prompt().tokens());
+        line.put("deadline_ms", millis(request.deadlineNanos(), request));
+        line.put("outcome", outcome);
+        line.put("ms", millis(nowNanos, request));
+        ArrayNode steps = line.putArray("steps");
+        for (RequestRecord.Step step : record.steps()) {
+            ObjectNode node = steps.addObject();
+            node.put("ms", millis(step.nanos(), request));
+            node.put("step", step.kind());
+            node.put("server", step.server());
+            node.put("detail", step.detail());
+        }
+        LOG.info(line);
+    }
+
+    /**
+     * Returns the time since a request arrived.
+     *
+     * @param nanos the local monotonic time
+     * @param request the request
+     * @return the time in tenths of milliseconds, as milliseconds
+     */
+    private static double millis(long nanos, GatewayRequest request) {
+        return Math.round((nanos - request.arrivedNanos()) / NANOS_PER_MILLI * 10) / 10.0;
+    }
+}
--- /dev/null
+++ b/router/src/main/java/org/magnoliaseam/gateway/RequestRecord.java
@@ -0,0 +1,63 @@
+package org.magnoliaseam.gateway;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/** Collects what happened to one request, for its account in the log. Not thread-safe. */
+final class RequestRecord {
+
+    /**
+     * Holds one step of a request.
+     *
+     * @param kind what happened
+     * @param server the backend server concerned; empty if none
+     * @param detail the inputs that decided
+     * @param nanos the local monotonic time
+     */
+    record Step(String kind, String server, String detail, long nanos) {}
+
+    /** The request. */
+    private final GatewayRequest mRequest;
+
+    /** The steps in order. */
+    private final List<Step> mSteps = new ArrayList<>(4);
+
+    /**
+     * Creates an account.
+     *
+     * @param request the request
+     */
+    RequestRecord(GatewayRequest request) {
+        mRequest = request;
+    }
+
+    /**
+     * Adds a step.
+     *
+     * @param kind what happened
+     * @param server the backend server concerned; empty if none
+     * @param detail the inputs that decided
+     * @param nanos the local monotonic time
+     */
+    void add(String kind, String server, String detail, long nanos) {
+        mSteps.add(new Step(kind, server, detail, nanos));
+    }
+
+    /**
+     * Returns the request.
+     *
+     * @return the request
+     */
+    GatewayRequest request() {
+        return mRequest;
+    }
+
+    /**
+     * Returns the steps.
+     *
+     * @return the steps in order
+     */
+    List<Step> steps() {
+        return mSteps;
+    }
+}
--- /dev/null
+++ b/router/src/main/java/org/magnoliaseam/gateway/ServerBoard.java
@@ -0,0 +1,301 @@
+package org.magnoliaseam.gateway;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.Predicate;
+import java.util.function.Supplier;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.magnoliaseam.backend.BackendFailure;
+import org.magnoliaseam.catalog.ServerEntry;
+import org.magnoliaseam.catalog.Service;
+import org.magnoliaseam.error.ErrorKind;
+import org.magnoliaseam.model.BackendServerId;
+import org.magnoliaseam.model.FailureDomain;
+import org.magnoliaseam.model.ServiceName;
+import org.magnoliaseam.retry.RetryBudget;
+import org.magnoliaseam.time.MonotonicClock;
+
+/** Knows the backend servers and what runs there, and chooses one for each try. Thread-safe. */
+public final class ServerBoard {
+
+    /** Writes changes of what the process believes. */
+    private static final Logger LOG = LogManager.getLogger("board");
+
+    /** The backend servers that are published. */
+    private final Map<BackendServerId, ServerState> mServers = new TreeMap<>();
+
+    /** The failure domains that are out of service. */
+    private final Set<FailureDomain> mOut = new HashSet<>();
+
+    /** The retries of each service. */
+    private final Map<ServiceName, RetryBudget> mBudgets = new HashMap<>();
+
+    /** Ranks backend servers. */
+    private final Placement mPlacement;
+
+    /** The limits that all entry VMs share. */
+    private final Supplier<FleetLimits> mLimits;
+
+    /** The clock. */
+    private final MonotonicClock mClock;
+
+    /**
+     * Creates a board without backend servers.
+     *
+     * @param ownDomain the failure domain of this entry VM
+     * @param limits the limits that all entry VMs share
+     * @param clock the clock
+     */
+    public ServerBoard(
+            FailureDomain ownDomain, Supplier<FleetLimits> limits, MonotonicClock clock) {
+        mPlacement = new Placement(ownDomain);
+        mLimits = limits;
+        mClock = clock;
+    }
+
+    /**
+     * Takes what is published about a backend server.
+     *
+     * @param entry the entry
+     */
+    public synchronized void published(ServerEntry entry) {
+        ServerState known = mServers.get(entry.id());
+        if (known == null) {
+            mServers.put(entry.id(), new ServerState(entry, mClock.nanos()));
+        } else {
+            known.update(entry, mClock.nanos());
+        }
+        LOG.info(
+                "board: published, id={} service={} domain={} draining={} cold_ms={}",
+                entry.id(),
+                entry.service(),
+                entry.failureDomain(),
+                entry.draining(),
+                entry.coldMillis());
+    }
+
+    /**
+     * Forgets a backend server that is no longer published.
+     *
+     * @param id the backend server
+     */
+    public synchronized void withdrawn(BackendServerId id) {
+        if (mServers.remove(id) != null) {
+            LOG.info("board: backend server gone, id={}", id);
+        }
+    }
+
+    /**
+     * Forgets all backend servers that a full list lacks.
+     *
+     * @param listed the backend servers in the list
+     */
+    public synchronized void retain(Set<BackendServerId> listed) {
+        List<BackendServerId> missing = new ArrayList<>(mServers.keySet());
+        missing.removeAll(listed);
+        missing.forEach(this::withdrawn);
+    }
+
+    /**
+     * Takes the failure domains that are out of service.
+     *
+     * @param out the failure domains that get no new work
+     */
+    public synchronized void outOfService(Collection<FailureDomain> out) {
+        if (!mOut.equals(Set.copyOf(out))) {
+            mOut.clear();
+            mOut.addAll(out);
+            LOG.info("board: failure domains out of service, domains={}", mOut);
+        }
+    }
+
+    /**
+     * Returns the number of backend servers.
+     *
+     * @return the number that is published
+     */
+    public synchronized int size() {
+        return mServers.size();
+    }
+
+    /**
+     * Chooses a backend server for a try and counts the try.
+     *
+     * @param request the request
+     * @param excluded the backend servers that it has met already
+     * @return the choice
+     */
+    synchronized Choice choose(GatewayRequest request, Set<BackendServerId> excluded) {
+        long now = mClock.nanos();
+        List<ServerState> present = select(state -> present(state, request));
+        if (present.isEmpty()) {
+            return new Choice.Wait(ErrorKind.NO_BACKEND_SERVER);
+        }
+        List<ServerState> open = new ArrayList<>();
+        for (ServerState state : present) {
+            boolean fresh = !excluded.contains(state.id());
+            if (fresh && state.bears(request.service(), mLimits.get().vms(), now)) {
+                open.add(state);
+            }
+        }
+        List<ServerState> sound = new ArrayList<>(open);
+        sound.removeIf(state -> state.failures().ejected(state.running(), now));
+        List<ServerState> candidates = sound.isEmpty() ? open : sound;
+        candidates.removeIf(state -> full(state, now));
+        if (candidates.isEmpty()) {
+            return new Choice.Wait(ErrorKind.OVERLOADED);
+        }
+        ServerState chosen = mPlacement.choose(request, candidates, now);
+        String reason = mPlacement.describe(request, chosen, candidates.size(), now);
+        long tokens = chosen.start(request, mLimits.get().vms(), now);
+        return new Choice.Start(chosen, tokens, reason);
+    }
+
+    /**
+     * Tells whether a backend server may still get a request right before its first byte leaves.
+     *
+     * @param order the try
+     * @return true if it is published, in service and not leaving
+     */
+    synchronized boolean confirm(TryOrder order) {
+        ServerState state = mServers.get(order.server().id());
+        return state != null && present(state, order.request());
+    }
+
+    /**
+     * Notes that the prompt of a try has been read.
+     *
+     * @param server the backend server
+     * @param tokens the tokens that it had to read
+     * @param millis the time since the try was sent, in milliseconds; 0 if it tells nothing
+     */
+    synchronized void read(ServerState server, long tokens, double millis) {
+        server.read(tokens);
+        server.measured(tokens, millis);
+    }
+
+    /**
+     * Takes the load that a backend server states.
+     *
+     * @param server the backend server
+     * @param load the load
+     */
+    synchronized void load(ServerState server, ReportedLoad load) {
+        server.load(load, mClock.nanos());
+    }
+
+    /**
+     * Counts a try that ended well.
+     *
+     * @param server the backend server
+     */
+    synchronized void succeeded(ServerState server) {
+        server.end();
+        server.failures().succeeded();
+    }
+
+    /**
+     * Counts a try that ended without saying anything about the backend server.
+     *
+     * @param server the backend server
+     */
+    synchronized void ended(ServerState server) {
+        server.end();
+    }
+
+    /**
+     * Counts a failed try.
+     *
+     * @param server the backend server
+     * @param service its service
+     * @param failure the kind of failure
+     */
+    synchronized void failed(ServerState server, Service service, BackendFailure failure) {
+        long now = mClock.nanos();
+        server.end();
+        if (failure == BackendFailure.HELD_BACK) {
+            return;
+        }
+        server.failures().failed(failure == BackendFailure.NOT_SENT, now);
+        if (failure == BackendFailure.NOT_SENT || failure.mayBeCrash()) {
+            server.coldFor(service.coldMillis(), now);
+        }
+    }
+
+    /**
+     * Counts the first try of a request.
+     *
+     * @param request the request
+     */
+    synchronized void firstTry(GatewayRequest request) {
+        budget(request).firstTry(mLimits.get().retryRatio(), mClock.nanos());
+    }
+
+    /**
+     * Takes one more try out of the retry budget.
+     *
+     * @param request the request
+     * @return true if the request may be tried again
+     */
+    synchronized boolean tryRetry(GatewayRequest request) {
+        return budget(request).take(mLimits.get().retryRatio(), mClock.nanos()).allowed();
+    }
+
+    /**
+     * Returns the retry budget of a request's service.
+     *
+     * @param request the request
+     * @return the budget
+     */
+    private RetryBudget budget(GatewayRequest request) {
+        return mBudgets.computeIfAbsent(request.service().name(), name -> new RetryBudget());
+    }
+
+    /**
+     * Tells whether a backend server may get new work for a request.
+     *
+     * @param state the backend server
+     * @param request the request
+     * @return true if it belongs to the service, is in service and not leaving
+     */
+    private boolean present(ServerState state, GatewayRequest request) {
+        ServerEntry entry = state.entry();
+        return entry.service().equals(request.service().name())
+                && !entry.draining()
+                && !mOut.contains(entry.failureDomain());
+    }
+
+    /**
+     * Tells whether a backend server has no place for one more request.
+     *
+     * @param state the backend server
+     * @param nowNanos the local monotonic time
+     * @return true if as many requests run and wait there as it has slots
+     */
+    private static boolean full(ServerState state, long nowNanos) {
+        return state.entry().slots() > 0 && state.occupied(nowNanos) >= state.entry().slots();
+    }
+
+    /**
+     * Selects backend servers.
+     *
+     * @param condition which ones
+     * @return the selected ones in the order of their ids
+     */
+    private List<ServerState> select(Predicate<ServerState> condition) {
+        List<ServerState> selected = new ArrayList<>();
+        for (ServerState state : mServers.values()) {
+            if (condition.test(state)) {
+                selected.add(state);
+            }
+        }
+        return selected;
+    }
+}
--- /dev/null
+++ b/router/src/main/java/org/magnoliaseam/gateway/ServerState.java
@@ -0,0 +1,261 @@
+package org.magnoliaseam.gateway;
+
+import java.util.LinkedHashMap;
+import java.util.Map;
+import org.magnoliaseam.catalog.ServerEntry;
+import org.magnoliaseam.catalog.Service;
+import org.magnoliaseam.model.BackendServerId;
+
+/** Holds what this entry VM knows about one backend server. Guarded by the server board. */
+final class ServerState {
+
+    /** The prompt parts remembered for one backend server. */
+    private static final int MAX_PARTS = 2048;
+
+    /** The age up to which a stated load counts, in nanoseconds. */
+    private static final long LOAD_VALID_NANOS = 1_000_000_000L;
+
+    /** The prompt tokens that an engine reads in a millisecond until measured. */
+    private static final double INITIAL_TOKENS_PER_MILLI = 40;
+
+    /** The weight of the latest measurement of the reading speed. */
+    private static final double SPEED_WEIGHT = 0.1;
+
+    /** The smallest number of tokens that tells the reading speed. */
+    private static final int SPEED_TOKENS = 1000;
+
+    /** The prompt parts that the backend server has read, least recently used first. */
+    private final Map<String, Long> mParts = new LinkedHashMap<>(64, 0.75f, true);
+
+    /** How the tries ended. */
+    private final FailureHistory mFailures = new FailureHistory();
+
+    /** Limits the requests during a cold start. */
+    private final ColdAllowance mCold = new ColdAllowance();
+
+    /** What is published about the backend server. */
+    private ServerEntry mEntry;
+
+    /** The tries of this entry VM that run there. */
+    private int mRunning;
+
+    /** The prompt tokens that this entry VM waits for to be read there. */
+    private long mPendingTokens;
+
+    /** The local monotonic time at which the cold start ends. */
+    private long mColdUntilNanos;
+
+    /** The load that the backend server stated last. */
+    private ReportedLoad mLoad = new ReportedLoad(0, 0, 0);
+
+    /** The local monotonic time of the stated load. */
+    private long mLoadNanos;
+
+    /** The measured reading speed in tokens a millisecond. */
+    private double mTokensPerMilli = INITIAL_TOKENS_PER_MILLI;
+
+    /**
+     * Creates the state of a backend server that was published just now.
+     *
+     * @param entry what is published
+     * @param nowNanos the local monotonic time
+     */
+    ServerState(ServerEntry entry, long nowNanos) {
+        mEntry = entry;
+        mLoadNanos = nowNanos - LOAD_VALID_NANOS;
+        mColdUntilNanos = nowNanos + entry.coldMillis() * 1_000_000L;
+    }
+
+    /**
+     * Takes a newer publication of the backend server.
+     *
+     * @param entry what is published now
+     * @param nowNanos the local monotonic time
+     */
+    void update(ServerEntry entry, long nowNanos) {
+        if (entry.startMark() != mEntry.startMark()) {
+            mParts.clear();
+        }
+        mEntry = entry;
+        if (entry.coldMillis() > 0) {
+            coldFor(entry.coldMillis(), nowNanos);
+        }
+    }
+
+    /**
+     * Notes that the backend server is in cold start.
+     *
+     * @param millis how much longer, in milliseconds
+     * @param nowNanos the local monotonic time
+     */
+    void coldFor(long millis, long nowNanos) {
+        long until = nowNanos + millis * 1_000_000L;
+        if (until - mColdUntilNanos > 0) {
+            mColdUntilNanos = until;
+        }
+    }
+
+    /**
+     * Returns the backend server.
+     *
+     * @return its id
+     */
+    BackendServerId id() {
+        return mEntry.id();
+    }
+
+    /**
+     * Returns what is published.
+     *
+     * @return the entry
+     */
+    ServerEntry entry() {
+        return mEntry;
+    }
+
+    /**
+     * Returns how the tries ended.
+     *
+     * @return the history
+     */
+    FailureHistory failures() {
+        return mFailures;
+    }
+
+    /**
+     * Tells whether a cold start leaves room for one more request.
+     *
+     * @param service the service
+     * @param vms the entry VMs that may send to the backend server
+     * @param nowNanos the local monotonic time
+     * @return true if the backend server is warm or its limit is not reached
+     */
+    boolean bears(Service service, int vms, long nowNanos) {
+        return !cold(service, nowNanos) || mCold.available(service.coldPerSecond() / vms, nowNanos);
+    }
+
+    /**
+     * Tells whether the backend server is in a cold start that limits its requests.
+     *
+     * @param service the service
+     * @param nowNanos the local monotonic time
+     * @return true during a cold start
+     */
+    boolean cold(Service service, long nowNanos) {
+        return service.coldPerSecond() > 0 && nowNanos - mColdUntilNanos < 0;
+    }
+
+    /**
+     * Counts a try that starts.
+     *
+     * @param request the request
+     * @param vms the entry VMs that may send to the backend server
+     * @param nowNanos the local monotonic time
+     * @return the prompt tokens that the backend server has to read for it
+     */
+    long start(GatewayRequest request, int vms, long nowNanos) {
+        if (cold(request.service(), nowNanos)) {
+            mCold.take(request.service().coldPerSecond() / vms, nowNanos);
+        }
+        long tokens = unreadTokens(request.prompt());
+        mRunning++;
+        mPendingTokens += tokens;
+        for (PromptPart part : request.prompt().parts()) {
+            mParts.put(part.id(), nowNanos);
+        }
+        while (mParts.size() > MAX_PARTS) {
+            mParts.remove(mParts.keySet().iterator().next());
+        }
+        return tokens;
+    }
+
+    /**
+     * Notes that the prompt of a try has been read.
+     *
+     * @param tokens the tokens that {@link #start} returned
+     */
+    void read(long tokens) {
+        mPendingTokens -= tokens;
+    }
+
+    /** Counts a try that ended. */
+    void end() {
+        mRunning--;
+    }
+
+    /** Forgets the prompt parts, since the backend server has lost its memory. */
+    void forgetParts() {
+        mParts.clear();
+    }
+
+    /**
+     * Takes a measured time to the first event.
+     *
+     * @param tokens the tokens that were read for it
+     * @param millis the time in milliseconds
+     */
+    void measured(long tokens, double millis) {
+        if (tokens >= SPEED_TOKENS && millis > 0) {
+            double speed = tokens / millis;
+            mTokensPerMilli += SPEED_WEIGHT * (speed - mTokensPerMilli);
+        }
+    }
+
+    /**
+     * Takes the load that the backend server states.
+     *
+     * @param load the load
+     * @param nowNanos the local monotonic time
+     */
+    void load(ReportedLoad load, long nowNanos) {
+        mLoad = load;
+        mLoadNanos = nowNanos;
+    }
+
+    /**
+     * Returns the tokens of a prompt that the backend server has not read yet.
+     *
+     * @param prompt the prompt
+     * @return the tokens from the first part on that it does not keep
+     */
+    long unreadTokens(Prompt prompt) {
+        long kept = 0;
+        for (PromptPart part : prompt.parts()) {
+            if (!mParts.containsKey(part.id())) {
+                break;
+            }
+            kept += part.tokens();
+        }
+        return Math.max(0, prompt.tokens() - kept);
+    }
+
+    /**
+     * Returns the tries of this entry VM.
+     *
+     * @return the number that runs there
+     */
+    int running() {
+        return mRunning;
+    }
+
+    /**
+     * Estimates the requests of all entry VMs.
+     *
+     * @param nowNanos the local monotonic time
+     * @return the larger of the own tries and the stated load
+     */
+    int occupied(long nowNanos) {
+        boolean valid = nowNanos - mLoadNanos < LOAD_VALID_NANOS;
+        return valid ? Math.max(mRunning, mLoad.running() + mLoad.waiting()) : mRunning;
+    }
+
+    /**
+     * Predicts the time that reading takes before a request's first event.
+     *
+     * @param prompt the prompt of the request
+     * @return the time in milliseconds
+     */
+    double readMillis(Prompt prompt) {
+        return (mPendingTokens + unreadTokens(prompt)) / mTokensPerMilli;
+    }
+}
--- a/router/src/main/java/org/magnoliaseam/membership/StableHash.java
+++ b/router/src/main/java/org/magnoliaseam/membership/StableHash.java
@@ -4,7 +4,7 @@
 import org.magnoliaseam.model.VmId;
 
 /** Computes hashes that are the same in every process and every version. */
-final class StableHash {
+public final class StableHash {
 
     /** The start value of the FNV-1a hash. */
     private static final long FNV_OFFSET = 0xcbf29ce484222325L;
@@ -32,8 +32,19 @@
      * @return the hash
      */
     static long of(VmId vm, int seed) {
+        return of(vm.value(), seed);
+    }
+
+    /**
+     * Hashes a text.
+     *
+     * @param text the text
+     * @param seed selects one of many independent hashes
+     * @return the hash
+     */
+    public static long of(String text, int seed) {
         long hash = (FNV_OFFSET ^ seed) * FNV_PRIME;
-        for (byte b : vm.value().getBytes(StandardCharsets.UTF_8)) {
+        for (byte b : text.getBytes(StandardCharsets.UTF_8)) {
             hash = (hash ^ (b & 0xff)) * FNV_PRIME;
         }
         hash = (hash ^ hash >>> MIX_SHIFT) * MIX_FIRST;
--- /dev/null
+++ b/router/src/main/java/org/magnoliaseam/platform/CatalogDecoder.java
@@ -0,0 +1,213 @@
+package org.magnoliaseam.platform;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalInt;
+import org.magnoliaseam.catalog.Account;
+import org.magnoliaseam.catalog.CallerLimits;
+import org.magnoliaseam.catalog.Catalog;
+import org.magnoliaseam.catalog.EngineCapacity;
+import org.magnoliaseam.catalog.RequestKind;
+import org.magnoliaseam.catalog.Route;
+import org.magnoliaseam.catalog.Service;
+import org.magnoliaseam.catalog.WeightedService;
+import org.magnoliaseam.error.Result;
+import org.magnoliaseam.model.ClientAccountId;
+import org.magnoliaseam.model.ServiceName;
+
+/** Reads the published configuration of the platform. */
+final class CatalogDecoder {
+
+    /** The largest body that is accepted where no limit is published, in bytes. */
+    private static final int DEFAULT_BODY_BYTES = 4 * 1024 * 1024;
+
+    /** The idle time of connections where no limit is published, in milliseconds. */
+    private static final long DEFAULT_IDLE_MILLIS = 15_000;
+
+    /** The milliseconds of a second. */
+    private static final double MILLIS_PER_SECOND = 1000;
+
+    /** Reads JSON. */
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+
+    /** Prevents instances of this utility class. */
+    private CatalogDecoder() {}
+
+    /**
+     * Reads a configuration.
+     *
+     * @param bytes the published bytes
+     * @return the catalog, or the key that cannot be used and why
+     */
+    static Result<Catalog, String> decode(byte[] bytes) {
+        try {
+            JsonNode root = MAPPER.readTree(bytes);
+            return Result.ok(catalog(root));
+        } catch (IOException e) {
+            return Result.err("not JSON");
+        } catch (IllegalArgumentException e) {
+            return Result.err(e.getMessage());
+        }
+    }
+
+    /**
+     * Reads the whole configuration.
+     *
+     * @param root the configuration
+     * @return the catalog
+     */
+    private static Catalog catalog(JsonNode root) {
+        List<Route> routes = new ArrayList<>();
+        for (JsonNode node : root.path("routes")) {
+            routes.add(route(node));
+        }
+        List<Service> services = new ArrayList<>();
+        for (JsonNode node : root.path("services")) {
+            services.add(service(node));
+        }
+        JsonNode limits = root.path("limits");
+        CallerLimits bounds =
+                new CallerLimits(
+                        limits.path("max_body_bytes").asInt(DEFAULT_BODY_BYTES),
+                        limits.path("idle_timeout_ms").asLong(DEFAULT_IDLE_MILLIS));
+        return new Catalog(
+                (long) number(root, "version"), routes, services, accounts(root), bounds);
+    }
+
+    /**
+     * Reads a route.
+     *
+     * @param node the route
+     * @return the route
+     */
+    private static Route route(JsonNode node) {
+        long timeout = (long) number(node, "timeout_ms");
+        return new Route(
+                node.path("name").asText(),
+                text(node, "host").toLowerCase(Locale.ROOT),
+                text(node, "prefix"),
+                kind(text(node, "kind")),
+                shares(node),
+                Math.max(1, node.path("max_attempts").asInt(1)),
+                timeout,
+                node.path("target_latency_ms").asLong(timeout),
+                node.path("gap_target_ms").asLong(0),
+                node.path("priority").asInt(0),
+                node.path("public").asBoolean(),
+                node.path("stream_resumption").asBoolean());
+    }
+
+    /**
+     * Translates the kind of a route.
+     *
+     * @param word the word on the wire
+     * @return the kind
+     */
+    private static RequestKind kind(String word) {
+        return switch (word) {
+            case "safe" -> RequestKind.REPEATABLE;
+            case "stream" -> RequestKind.STREAM;
+            default -> RequestKind.ONCE;
+        };
+    }
+
+    /**
+     * Reads the services that share a route.
+     *
+     * @param node the route
+     * @return the services with their weights
+     */
+    private static List<WeightedService> shares(JsonNode node) {
+        List<WeightedService> shares = new ArrayList<>();
+        for (JsonNode share : node.path("traffic_split")) {
+            double weight = share.path("weight").asDouble();
+            if (weight > 0) {
+                shares.add(new WeightedService(new ServiceName(text(share, "service")), weight));
+            }
+        }
+        if (shares.isEmpty()) {
+            shares.add(new WeightedService(new ServiceName(text(node, "service")), 1));
+        }
+        return List.copyOf(shares);
+    }
+
+    /**
+     * Reads a service.
+     *
+     * @param node the service
+     * @return the service
+     */
+    private static Service service(JsonNode node) {
+        JsonNode engine = node.path("engine");
+        Optional<EngineCapacity> capacity =
+                engine.isObject()
+                        ? Optional.of(
+                                new EngineCapacity(
+                                        engine.path("slots").asInt(),
+                                        engine.path("kv_capacity_tokens").asLong()))
+                        : Optional.empty();
+        return new Service(
+                new ServiceName(text(node, "name")),
+                node.path("max_connections").asInt(),
+                node.path("cold_per_s").asDouble(),
+                (long) (node.path("cold_start_s").asDouble() * MILLIS_PER_SECOND),
+                capacity);
+    }
+
+    /**
+     * Reads the client accounts.
+     *
+     * @param root the configuration
+     * @return the accounts by key
+     */
+    private static Map<String, Account> accounts(JsonNode root) {
+        Map<String, Account> accounts = new HashMap<>();
+        for (JsonNode node : root.path("tenants")) {
+            JsonNode rank = node.path("priority");
+            OptionalInt priority =
+                    rank.canConvertToInt() ? OptionalInt.of(rank.asInt()) : OptionalInt.empty();
+            Account account = new Account(new ClientAccountId(text(node, "name")), priority);
+            for (JsonNode key : node.path("api_keys")) {
+                accounts.put(key.asText(), account);
+            }
+        }
+        return accounts;
+    }
+
+    /**
+     * Reads a text that must be present.
+     *
+     * @param node the table
+     * @param key the key
+     * @return the text
+     */
+    private static String text(JsonNode node, String key) {
+        JsonNode value = node.path(key);
+        if (!value.isTextual()) {
+            throw new IllegalArgumentException(key + " is no text");
+        }
+        return value.asText();
+    }
+
+    /**
+     * Reads a number that must be present.
+     *
+     * @param node the table
+     * @param key the key
+     * @return the number
+     */
+    private static double number(JsonNode node, String key) {
+        JsonNode value = node.path(key);
+        if (!value.isNumber()) {
+            throw new IllegalArgumentException(key + " is no number");
+        }
+        return value.asDouble();
+    }
+}
--- /dev/null
+++ b/router/src/main/java/org/magnoliaseam/platform/ServerExchange.java
@@ -0,0 +1,233 @@
+package org.magnoliaseam.platform;
+
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeoutException;
+import org.eclipse.jetty.client.Request;
+import org.eclipse.jetty.client.Response;
+import org.eclipse.jetty.client.Result;
+import org.eclipse.jetty.http.HttpField;
+import org.eclipse.jetty.http.HttpFields;
+import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.http.HttpStatus;
+import org.eclipse.jetty.io.Content;
+import org.magnoliaseam.backend.BackendFailure;
+import org.magnoliaseam.backend.CallCancelledException;
+import org.magnoliaseam.exchange.AnswerHead;
+import org.magnoliaseam.exchange.Header;
+import org.magnoliaseam.gateway.ReportedLoad;
+import org.magnoliaseam.gateway.TryListener;
+import org.magnoliaseam.model.RequestId;
+
+/** Reads the answer of one backend server and checks that it belongs to the request. */
+final class ServerExchange {
+
+    /** The numbers in a stated load. */
+    private static final int LOAD_NUMBERS = 3;
+
+    /** The request. */
+    private final RequestId mId;
+
+    /** Takes the answer. */
+    private final TryListener mListener;
+
+    /** Whether a byte of the request may have left. */
+    private volatile boolean mSending;
+
+    /** Whether the request was held back before its first byte. */
+    private volatile boolean mHeldBack;
+
+    /** Why the answer is unusable; null while it is usable. */
+    private volatile BackendFailure mFault;
+
+    /** What is wrong with the answer. */
+    private volatile String mDetail = "";
+
+    /**
+     * Creates an exchange.
+     *
+     * @param id the request
+     * @param listener takes the answer
+     */
+    ServerExchange(RequestId id, TryListener listener) {
+        mId = id;
+        mListener = listener;
+    }
+
+    /**
+     * Asks whether the request may still be sent.
+     *
+     * @param request the request about to be sent
+     */
+    void sending(Request request) {
+        mSending = mListener.sending();
+        mHeldBack = !mSending;
+        if (mHeldBack) {
+            request.abort(new CallCancelledException());
+        }
+    }
+
+    /**
+     * Takes status and header fields.
+     *
+     * @param response the answer
+     */
+    void head(Response response) {
+        HttpFields fields = response.getHeaders();
+        String id = fields.get(WireNames.REQUEST_ID);
+        if (!mId.value().equals(id)) {
+            fault(response, BackendFailure.MISMATCHED, "The answer names another request.");
+            return;
+        }
+        load(fields.get(WireNames.LOAD));
+        int status = response.getStatus();
+        if (status == HttpStatus.MISDIRECTED_REQUEST_421) {
+            mFault = BackendFailure.REFUSED;
+            mDetail = "Another backend server has the address.";
+        } else if (fields.contains(WireNames.NOT_EXECUTED)) {
+            mFault = BackendFailure.REFUSED;
+            mDetail = "The backend server refused before the start, status " + status + ".";
+        } else if (HttpStatus.isSuccess(status) && !fields.contains(WireNames.SIGNATURE)) {
+            fault(response, BackendFailure.MISMATCHED, "The answer has no signature.");
+        } else if (fields.contains(HttpHeader.CONTENT_ENCODING)) {
+            fault(response, BackendFailure.MISMATCHED, "The answer is encoded.");
+        } else {
+            List<Header> headers = new ArrayList<>();
+            for (HttpField field : fields) {
+                headers.add(new Header(field.getName(), field.getValue()));
+            }
+            mListener.head(new AnswerHead(status, headers));
+        }
+    }
+
+    /**
+     * Reads the body as far as it has come.
+     *
+     * @param response the answer
+     * @param source the body
+     */
+    void content(Response response, Content.Source source) {
+        while (true) {
+            Content.Chunk chunk = source.read();
+            if (chunk == null) {
+                source.demand(() -> content(response, source));
+                return;
+            }
+            if (Content.Chunk.isFailure(chunk)) {
+                return;
+            }
+            if (!deliver(response, source, chunk)) {
+                return;
+            }
+        }
+    }
+
+    /**
+     * Ends the exchange.
+     *
+     * @param result how it went
+     */
+    void complete(Result result) {
+        if (mHeldBack) {
+            mListener.failed(BackendFailure.HELD_BACK, "The facts changed before the send.");
+        } else if (mFault != null) {
+            mListener.failed(mFault, mDetail);
+        } else if (result.isSucceeded()) {
+            mListener.ended();
+        } else {
+            fail(result.getFailure());
+        }
+    }
+
+    /**
+     * Marks the answer as unusable and closes its connection.
+     *
+     * @param response the answer
+     * @param fault the kind of failure
+     * @param detail what is wrong
+     */
+    private void fault(Response response, BackendFailure fault, String detail) {
+        mFault = fault;
+        mDetail = detail;
+        response.abort(new CallCancelledException());
+    }
+
+    /**
+     * Passes a stated load on.
+     *
+     * @param text the header field; null if there is none
+     */
+    private void load(String text) {
+        if (text == null) {
+            return;
+        }
+        String[] numbers = text.split(",");
+        if (numbers.length != LOAD_NUMBERS) {
+            return;
+        }
+        try {
+            mListener.load(
+                    new ReportedLoad(
+                            Integer.parseInt(numbers[0].strip()),
+                            Integer.parseInt(numbers[1].strip()),
+                            Integer.parseInt(numbers[2].strip())));
+        } catch (NumberFormatException e) {
+            mDetail = "The stated load is malformed.";
+        }
+    }
+
+    /**
+     * Passes a part of the body on.
+     *
+     * @param response the answer
+     * @param source the body
+     * @param chunk the part
+     * @return true if the next part may be read at once
+     */
+    private boolean deliver(Response response, Content.Source source, Content.Chunk chunk) {
+        boolean last = chunk.isLast();
+        if (mFault != null || !chunk.hasRemaining()) {
+            chunk.release();
+            return !last;
+        }
+        ByteBuffer bytes = ByteBuffer.allocate(chunk.remaining());
+        bytes.put(chunk.getByteBuffer()).flip();
+        chunk.release();
+        CompletableFuture<Void> taken = mListener.content(bytes);
+        if (taken.isDone() && !taken.isCompletedExceptionally()) {
+            return !last;
+        }
+        taken.whenComplete(
+                (ignored, failure) -> {
+                    if (failure != null) {
+                        response.abort(new CallCancelledException());
+                    } else if (!last) {
+                        content(response, source);
+                    }
+                });
+        return false;
+    }
+
+    /**
+     * Reports a failed exchange.
+     *
+     * @param cause why it failed
+     */
+    private void fail(Throwable cause) {
+        String detail = cause.getClass().getSimpleName();
+        if (!mSending && cause instanceof CallCancelledException) {
+            mListener.failed(BackendFailure.HELD_BACK, "The router cancelled the call.");
+        } else if (!mSending) {
+            mListener.failed(BackendFailure.NOT_SENT, "No connection was made: " + detail + ".");
+        } else if (cause instanceof CallCancelledException) {
+            mListener.failed(BackendFailure.INCOMPLETE, "The router cancelled the call.");
+        } else if (cause instanceof TimeoutException) {
+            mListener.failed(BackendFailure.TIMEOUT, "The time limit passed.");
+        } else {
+            mListener.failed(
+                    BackendFailure.CONNECTION_LOST, "The connection was lost: " + detail + ".");
+        }
+    }
+}
--- a/router/src/main/java/org/magnoliaseam/platform/package-info.java
+++ b/router/src/main/java/org/magnoliaseam/platform/package-info.java
@@ -1,5 +1,5 @@
 /**
- * Holds the exchange with the platform: reading and watching the configuration and the list of VMs.
- * Nothing is ever written to the platform.
+ * Translates between the product and the users' platform: its metadata store, its callers and its
+ * backend servers. Decisions stand elsewhere; only the wiring of the process imports this package.
  */
 package org.magnoliaseam.platform;
--- a/router/src/main/java/org/magnoliaseam/platform/PlatformJson.java
+++ b/router/src/main/java/org/magnoliaseam/publication/PlatformJson.java
@@ -1,4 +1,4 @@
-package org.magnoliaseam.platform;
+package org.magnoliaseam.publication;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
--- a/router/src/main/java/org/magnoliaseam/platform/Watch.java
+++ b/router/src/main/java/org/magnoliaseam/publication/Watch.java
@@ -1,4 +1,4 @@
-package org.magnoliaseam.platform;
+package org.magnoliaseam.publication;
 
 import java.net.URI;
 import java.nio.charset.StandardCharsets;
--- a/router/src/main/java/org/magnoliaseam/platform/WatchListener.java
+++ b/router/src/main/java/org/magnoliaseam/publication/WatchListener.java
@@ -1,4 +1,4 @@
-package org.magnoliaseam.platform;
+package org.magnoliaseam.publication;
 
 /** Takes what a watch reads. */
 @FunctionalInterface
--- /dev/null
+++ b/router/src/main/java/org/magnoliaseam/route/GatewayFactory.java
@@ -0,0 +1,138 @@
+package org.magnoliaseam.route;
+
+import java.util.concurrent.Executors;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicReference;
+import org.eclipse.jetty.client.HttpClient;
+import org.eclipse.jetty.http.HttpCookieStore;
+import org.eclipse.jetty.http.UriCompliance;
+import org.eclipse.jetty.server.Handler;
+import org.eclipse.jetty.server.HttpConfiguration;
+import org.eclipse.jetty.server.HttpConnectionFactory;
+import org.eclipse.jetty.server.Server;
+import org.eclipse.jetty.util.thread.QueuedThreadPool;
+import org.magnoliaseam.caller.ObservedConnectionFactory;
+import org.magnoliaseam.gateway.FleetLimits;
+import org.magnoliaseam.gateway.Gateway;
+import org.magnoliaseam.gateway.GatewayParts;
+import org.magnoliaseam.gateway.Publication;
+import org.magnoliaseam.gateway.RequestLog;
+import org.magnoliaseam.gateway.ServerBoard;
+import org.magnoliaseam.platform.CallerProtocol;
+import org.magnoliaseam.platform.PlatformFeed;
+import org.magnoliaseam.platform.ServerProtocol;
+import org.magnoliaseam.settings.StoreSettings;
+import org.magnoliaseam.time.MonotonicClock;
+
+/** Puts a process together whose site a metadata store publishes. */
+final class GatewayFactory {
+
+    /** The entry VMs that may share a limit while their number is unknown. */
+    private static final int ASSUMED_VMS = 8;
+
+    /** The threads of the process for connections. */
+    private static final int MAX_THREADS = 24;
+
+    /** The threads that are kept. */
+    private static final int MIN_THREADS = 4;
+
+    /** The time limit for connecting to a backend server in milliseconds. */
+    private static final long CONNECT_MILLIS = 250;
+
+    /** The time after which an unused connection to a backend server is closed, in milliseconds. */
+    private static final long IDLE_MILLIS = 2500;
+
+    /** The settings of the process. */
+    private final StoreSettings mSettings;
+
+    /** The clock. */
+    private final MonotonicClock mClock = System::nanoTime;
+
+    /** Whether the process is stopping. */
+    private final AtomicBoolean mStopping = new AtomicBoolean();
+
+    /** The threads for connections. */
+    private final QueuedThreadPool mThreads = new QueuedThreadPool(MAX_THREADS, MIN_THREADS);
+
+    /**
+     * Creates a factory.
+     *
+     * @param settings the settings of the process
+     */
+    GatewayFactory(StoreSettings settings) {
+        mSettings = settings;
+        mThreads.setName("http");
+        mThreads.setDaemon(true);
+    }
+
+    /**
+     * Creates the process.
+     *
+     * @return the process, not yet started
+     */
+    GatewayProcess process() {
+        AtomicReference<FleetLimits> limits =
+                new AtomicReference<>(new FleetLimits(ASSUMED_VMS, mSettings.retryRatio()));
+        Publication publication = new Publication(mClock);
+        ServerBoard board = new ServerBoard(mSettings.failureDomain(), limits::get, mClock);
+        HttpClient client = client();
+        ServerProtocol port = new ServerProtocol(client, mClock);
+        Gateway gateway = new Gateway(new GatewayParts(board, port, new RequestLog(), mClock));
+        PlatformFeed feed = new PlatformFeed(mSettings, client, publication, board);
+        CallerProtocol callers = new CallerProtocol(publication, gateway, mStopping::get, mClock);
+        ReadinessHandler readiness =
+                new ReadinessHandler(() -> feed.complete() && !mStopping.get());
+        return new GatewayProcess(
+                mSettings,
+                server(callers, readiness),
+                client,
+                feed,
+                gateway,
+                Executors.newSingleThreadScheduledExecutor(new NamedThreads("timer")),
+                mStopping,
+                mClock);
+    }
+
+    /**
+     * Creates the client for backend servers and the store.
+     *
+     * @return the client, not yet started
+     */
+    private HttpClient client() {
+        HttpClient client = HttpFactory.client("backend");
+        client.setExecutor(mThreads);
+        client.setConnectTimeout(CONNECT_MILLIS);
+        client.setIdleTimeout(IDLE_MILLIS);
+        client.setHttpCookieStore(new HttpCookieStore.Empty());
+        client.getContentDecoderFactories().clear();
+        return client;
+    }
+
+    /**
+     * Creates the ports.
+     *
+     * @param callers serves callers
+     * @param readiness answers the balancer
+     * @return the server, not yet started
+     */
+    private Server server(Handler callers, Handler readiness) {
+        Server server = new Server(mThreads);
+        HttpConfiguration limits = HttpFactory.limits();
+        limits.setUriCompliance(UriCompliance.UNSAFE);
+        limits.setSendDateHeader(false);
+        server.addConnector(
+                HttpFactory.connector(
+                        server,
+                        PortHandler.CALLERS,
+                        mSettings.callersAddress(),
+                        new ObservedConnectionFactory(limits)));
+        server.addConnector(
+                HttpFactory.connector(
+                        server,
+                        PortHandler.READINESS,
+                        mSettings.readinessAddress(),
+                        new HttpConnectionFactory(HttpFactory.limits())));
+        server.setHandler(new PortHandler(callers, readiness));
+        return server;
+    }
+}
--- /dev/null
+++ b/router/src/main/java/org/magnoliaseam/route/GatewayProcess.java
@@ -0,0 +1,154 @@
+package org.magnoliaseam.route;
+
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.eclipse.jetty.client.HttpClient;
+import org.eclipse.jetty.server.Server;
+import org.magnoliaseam.gateway.Gateway;
+import org.magnoliaseam.platform.PlatformFeed;
+import org.magnoliaseam.settings.StoreSettings;
+import org.magnoliaseam.time.MonotonicClock;
+
+/** Runs one entry VM of a site that a metadata store publishes, from start to planned stop. */
+final class GatewayProcess {
+
+    /** The time between two looks at the requests in progress, in milliseconds. */
+    private static final long TICK_MILLIS = 10;
+
+    /** The time until the balancer has taken an unready VM out, in milliseconds. */
+    private static final long BALANCER_MILLIS = 3000;
+
+    /** The time before the end of the grace at which the process ends, in milliseconds. */
+    private static final long EXIT_MILLIS = 500;
+
+    /** The time without a request after which a stopping process ends, in milliseconds. */
+    private static final long QUIET_MILLIS = 300;
+
+    /** The time between two looks during a planned stop, in milliseconds. */
+    private static final long DRAIN_CHECK_MILLIS = 20;
+
+    /** The nanoseconds of a millisecond. */
+    private static final long NANOS_PER_MILLI = 1_000_000;
+
+    /** Writes start and stop. */
+    private static final Logger LOG = LogManager.getLogger("route");
+
+    /** The settings of the process. */
+    private final StoreSettings mSettings;
+
+    /** The ports for callers, readiness and operators. */
+    private final Server mServer;
+
+    /** The client for backend servers and the store. */
+    private final HttpClient mClient;
+
+    /** Follows the store. */
+    private final PlatformFeed mFeed;
+
+    /** Runs requests. */
+    private final Gateway mGateway;
+
+    /** Runs the periodic work. */
+    private final ScheduledExecutorService mTimers;
+
+    /** Whether the process is stopping. */
+    private final AtomicBoolean mStopping;
+
+    /** The clock. */
+    private final MonotonicClock mClock;
+
+    /**
+     * Creates a process.
+     *
+     * @param settings the settings of the process
+     * @param server the ports, not yet started
+     * @param client the client, not yet started
+     * @param feed follows the store
+     * @param gateway runs requests
+     * @param timers runs the periodic work
+     * @param stopping whether the process is stopping
+     * @param clock the clock
+     */
+    GatewayProcess(
+            StoreSettings settings,
+            Server server,
+            HttpClient client,
+            PlatformFeed feed,
+            Gateway gateway,
+            ScheduledExecutorService timers,
+            AtomicBoolean stopping,
+            MonotonicClock clock) {
+        mSettings = settings;
+        mServer = server;
+        mClient = client;
+        mFeed = feed;
+        mGateway = gateway;
+        mTimers = timers;
+        mStopping = stopping;
+        mClock = clock;
+    }
+
+    /**
+     * Starts the process.
+     *
+     * @throws Exception if a port cannot be opened
+     */
+    void start() throws Exception {
+        mClient.start();
+        mFeed.start();
+        mServer.start();
+        mTimers.scheduleWithFixedDelay(this::tick, TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
+        LOG.info(
+                "route: started, vm={} domain={} callers={}",
+                mSettings.vm(),
+                mSettings.failureDomain(),
+                mSettings.callersAddress());
+    }
+
+    /** Stops the process without cutting a request in progress, as far as the grace allows. */
+    void stop() {
+        long begin = mClock.nanos();
+        mStopping.set(true);
+        LOG.info("route: stopping, active={}", mGateway.active());
+        long quietSince = begin;
+        long limit = mSettings.stopGrace().toMillis() - EXIT_MILLIS;
+        try {
+            while (millisSince(begin) < limit) {
+                if (mGateway.active() > 0) {
+                    quietSince = mClock.nanos();
+                }
+                boolean quiet = millisSince(quietSince) >= QUIET_MILLIS;
+                if (quiet && millisSince(begin) >= BALANCER_MILLIS) {
+                    break;
+                }
+                TimeUnit.MILLISECONDS.sleep(DRAIN_CHECK_MILLIS);
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        mFeed.stop();
+        LOG.info("route: stopped, active={}", mGateway.active());
+    }
+
+    /** Looks after the requests in progress. */
+    private void tick() {
+        try {
+            mGateway.tick();
+        } catch (RuntimeException e) {
+            LOG.error("route: a periodic task failed", e);
+        }
+    }
+
+    /**
+     * Returns the time since a moment.
+     *
+     * @param nanos the local monotonic time
+     * @return the time in milliseconds
+     */
+    private long millisSince(long nanos) {
+        return (mClock.nanos() - nanos) / NANOS_PER_MILLI;
+    }
+}
--- /dev/null
+++ b/router/src/main/java/org/magnoliaseam/route/GatewayRunner.java
@@ -0,0 +1,52 @@
+package org.magnoliaseam.route;
+
+import java.nio.file.Path;
+import java.util.concurrent.CountDownLatch;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.magnoliaseam.settings.StoreSettings;
+
+/** Runs a process whose site a metadata store publishes until a signal stops it. */
+public final class GatewayRunner {
+
+    /** Writes failed starts. */
+    private static final Logger LOG = LogManager.getLogger("route");
+
+    /** Prevents instances of this utility class. */
+    private GatewayRunner() {}
+
+    /**
+     * Runs a process.
+     *
+     * @param settings the settings of the process
+     * @param file the file that they came from
+     * @return 0 after a planned stop, 1 if the process could not start
+     */
+    public static int run(StoreSettings settings, Path file) {
+        try {
+            GatewayProcess process = new GatewayFactory(settings).process();
+            process.start();
+            Runtime.getRuntime()
+                    .addShutdownHook(new Thread(() -> stopPlanned(process), "shutdown"));
+            new CountDownLatch(1).await();
+            return 0;
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return 1;
+        } catch (Exception e) {
+            LOG.error("route: start failed, cause={}", e.getMessage(), e);
+            return 1;
+        }
+    }
+
+    /**
+     * Stops a process on a signal and ends with the code of a planned stop.
+     *
+     * @param process the process
+     */
+    private static void stopPlanned(GatewayProcess process) {
+        process.stop();
+        LogManager.shutdown();
+        Runtime.getRuntime().halt(0);
+    }
+}
--- a/router/src/main/java/org/magnoliaseam/route/HttpFactory.java
+++ b/router/src/main/java/org/magnoliaseam/route/HttpFactory.java
@@ -53,18 +53,44 @@
         threads.setName(name);
         threads.setDaemon(true);
         Server server = new Server(threads);
+        server.addConnector(connector(server, name, address, new HttpConnectionFactory(limits())));
+        server.setHandler(handler);
+        server.setStopAtShutdown(false);
+        return server;
+    }
+
+    /**
+     * Returns the limits of connections of callers and operators.
+     *
+     * @return the limits
+     */
+    static HttpConfiguration limits() {
         HttpConfiguration http = new HttpConfiguration();
         http.setRequestHeaderSize(MAX_HEADER_BYTES);
         http.setSendServerVersion(false);
-        ServerConnector connector =
-                new ServerConnector(server, 1, 2, new HttpConnectionFactory(http));
+        return http;
+    }
+
+    /**
+     * Creates a port of a server.
+     *
+     * @param server the server
+     * @param name the name of the port
+     * @param address the address to listen on
+     * @param connections creates connections
+     * @return the port, not yet started
+     */
+    static ServerConnector connector(
+            Server server,
+            String name,
+            InetSocketAddress address,
+            HttpConnectionFactory connections) {
+        ServerConnector connector = new ServerConnector(server, 1, 2, connections);
+        connector.setName(name);
         connector.setHost(address.getHostString());
         connector.setPort(address.getPort());
         connector.setIdleTimeout(IDLE_TIMEOUT_MILLIS);
-        server.addConnector(connector);
-        server.setHandler(handler);
-        server.setStopAtShutdown(false);
-        return server;
+        return connector;
     }
 
     /**
@@ -100,7 +126,7 @@
      * @param name the name for threads
      * @return the client, not yet started
      */
-    private static HttpClient client(String name) {
+    static HttpClient client(String name) {
         QueuedThreadPool threads = new QueuedThreadPool(CLIENT_THREADS, 2);
         threads.setName(name);
         threads.setDaemon(true);
--- /dev/null
+++ b/router/src/main/java/org/magnoliaseam/settings/schema/StoreKeys.java
@@ -0,0 +1,80 @@
+package org.magnoliaseam.settings.schema;
+
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.List;
+import org.magnoliaseam.model.FailureDomain;
+import org.magnoliaseam.model.VmId;
+
+/** Lists the keys of the local settings file where a metadata store publishes the site. */
+public final class StoreKeys {
+
+    /** The VM that the process runs on. */
+    public static final KeySpec<VmId> VM = LocalKeys.VM;
+
+    /** The failure domain of the VM. */
+    public static final KeySpec<FailureDomain> FAILURE_DOMAIN = LocalKeys.FAILURE_DOMAIN;
+
+    /** The address of the callers' port. */
+    public static final KeySpec<InetSocketAddress> CALLERS_ADDRESS = LocalKeys.CALLERS_ADDRESS;
+
+    /** The address of the operators' port. */
+    public static final KeySpec<InetSocketAddress> OPERATORS_ADDRESS = LocalKeys.OPERATORS_ADDRESS;
+
+    /** The address of the peer port. */
+    public static final KeySpec<InetSocketAddress> PEERS_ADDRESS = LocalKeys.PEERS_ADDRESS;
+
+    /** The address at which the balancer asks for readiness. */
+    public static final KeySpec<InetSocketAddress> READINESS_ADDRESS = address("readiness-address");
+
+    /** The address of the metadata store. */
+    public static final KeySpec<InetSocketAddress> STORE_ADDRESS = address("store-address");
+
+    /** The peer addresses of some entry VMs. */
+    public static final KeySpec<List<InetSocketAddress>> SEEDS =
+            KeySpec.optional(
+                    "seeds", new ListType<>(ValueTypes.SOCKET_ADDRESS), Scope.LOCAL, List.of());
+
+    /** The retries of all entry VMs as a fraction of first tries. */
+    public static final KeySpec<Double> RETRY_RATIO =
+            KeySpec.optional("retry-ratio", new DecimalType(0, 1), Scope.LOCAL, 0.1);
+
+    /** The time from the signal to stop until the process is killed. */
+    public static final KeySpec<Duration> STOP_GRACE =
+            KeySpec.optional(
+                    "stop-grace",
+                    ValueTypes.duration("1 s", "5 min"),
+                    Scope.LOCAL,
+                    Duration.ofSeconds(8));
+
+    /** The table of all keys. */
+    public static final TableSpec TABLE =
+            new TableSpec(
+                    "",
+                    TableSpec.Shape.PLAIN,
+                    List.of(
+                            VM,
+                            FAILURE_DOMAIN,
+                            CALLERS_ADDRESS,
+                            READINESS_ADDRESS,
+                            OPERATORS_ADDRESS,
+                            PEERS_ADDRESS,
+                            STORE_ADDRESS,
+                            SEEDS,
+                            RETRY_RATIO,
+                            STOP_GRACE));
+
+    /** Prevents instances of this list of constants. */
+    private StoreKeys() {}
+
+    /**
+     * Describes an address that must be present.
+     *
+     * @param name the key
+     * @return the description
+     */
+    private static KeySpec<InetSocketAddress> address(String name) {
+        return KeySpec.required(
+                name, ValueTypes.SOCKET_ADDRESS, Scope.LOCAL, StandIns.SOCKET_ADDRESS);
+    }
+}
--- a/router/src/test/java/org/magnoliaseam/cli/ProgramTest.java
+++ b/router/src/test/java/org/magnoliaseam/cli/ProgramTest.java
@@ -32,7 +32,8 @@
                     mLaunched.add(settings);
                     return ExitCode.DONE.code();
                 };
-        CommandTable table = new CommandTable(launcher, new TextDecisionRenderer());
+        CommandTable table =
+                new CommandTable(launcher, (settings, file) -> 0, new TextDecisionRenderer());
         return new Program(table, mConsole.console(), "1.2.3").run(args);
     }
 
