--- a/router/src/main/java/org/magnoliaseam/platform/StoreClient.java
+++ b/router/src/main/java/org/magnoliaseam/platform/StoreClient.java
@@ -99,6 +99,7 @@
             throws StoreException, InterruptedException {
         Request request = mClient.newRequest(mBase + pathAndQuery);
         request.timeout(limitMillis, TimeUnit.MILLISECONDS);
+        request.idleTimeout(limitMillis, TimeUnit.MILLISECONDS);
         try {
             ContentResponse answer =
                     new CompletableResponseListener(request, MAX_ANSWER_BYTES)
