Divide engines by the pauses that requests bear, and close idle connections when a VM leaves

Ruled out: too few slots (occupied was below 10 of 64). Change: EngineGroups; StopState with a time after which idle connections close.

--- a/router/src/main/java/org/magnoliaseam/caller/ObservedConnectionFactory.java
+++ b/router/src/main/java/org/magnoliaseam/caller/ObservedConnectionFactory.java
@@ -1,5 +1,7 @@
 package org.magnoliaseam.caller;
 
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import org.eclipse.jetty.io.Connection;
 import org.eclipse.jetty.io.EndPoint;
 import org.eclipse.jetty.server.Connector;
@@ -9,6 +11,9 @@
 /** Creates HTTP connections whose callers are observed while their requests are in progress. */
 public final class ObservedConnectionFactory extends HttpConnectionFactory {
 
+    /** The open connections. */
+    private final Set<ObservedEndPoint> mOpen = ConcurrentHashMap.newKeySet();
+
     /**
      * Creates a factory.
      *
@@ -20,7 +25,29 @@
 
     @Override
     public Connection newConnection(Connector connector, EndPoint endPoint) {
-        return super.newConnection(
-                connector, new ObservedEndPoint(endPoint, connector.getExecutor()));
+        ObservedEndPoint observed = new ObservedEndPoint(endPoint, connector.getExecutor());
+        Connection connection = super.newConnection(connector, observed);
+        connection.addEventListener(
+                new Connection.Listener() {
+                    @Override
+                    public void onOpened(Connection opened) {
+                        mOpen.add(observed);
+                    }
+
+                    @Override
+                    public void onClosed(Connection closed) {
+                        mOpen.remove(observed);
+                    }
+                });
+        return connection;
+    }
+
+    /** Closes the connections on which no request is in progress. */
+    public void closeIdle() {
+        for (ObservedEndPoint endPoint : mOpen) {
+            if (endPoint.isFillInterested()) {
+                endPoint.close();
+            }
+        }
     }
 }
--- a/router/src/main/java/org/magnoliaseam/gateway/Placement.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/Placement.java
@@ -1,11 +1,17 @@
 package org.magnoliaseam.gateway;
 
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
+import java.util.Set;
 import org.magnoliaseam.catalog.ServerEntry;
 import org.magnoliaseam.membership.StableHash;
 import org.magnoliaseam.model.FailureDomain;
+import org.magnoliaseam.model.ServiceName;
 
 /**
  * Ranks the backend servers that could run a request. All entry VMs agree on the first backend
@@ -19,6 +25,12 @@
     /** The cost of a certain failure, as a multiple of the target. */
     private static final double FAILURE_COST = 2.0;
 
+    /** The cost of an engine meant for other requests, as a multiple of the target. */
+    private static final double DETOUR_COST = 0.7;
+
+    /** The division of the engines of each service. */
+    private final Map<ServiceName, EngineGroups> mGroups = new HashMap<>();
+
     /** The failure domain of this entry VM. */
     private final FailureDomain mOwnDomain;
 
@@ -31,24 +43,58 @@
         mOwnDomain = ownDomain;
     }
 
+    /**
+     * Counts a request that has arrived.
+     *
+     * @param request the request
+     * @param nowNanos the local monotonic time
+     */
+    void arrived(GatewayRequest request, long nowNanos) {
+        if (request.service().engine().isPresent()) {
+            groups(request).arrived(request, nowNanos);
+        }
+    }
+
     /**
      * Chooses a backend server.
      *
      * @param request the request
-     * @param candidates the backend servers that may run it, at least one
+     * @param present the backend servers of the service
+     * @param candidates those that may run the request now, at least one
      * @param nowNanos the local monotonic time
      * @return the best one
      */
-    ServerState choose(GatewayRequest request, List<ServerState> candidates, long nowNanos) {
-        if (request.prompt().parts().isEmpty()) {
-            return leastLoaded(request, candidates, nowNanos);
+    ServerState choose(
+            GatewayRequest request,
+            List<ServerState> present,
+            List<ServerState> candidates,
+            long nowNanos) {
+        if (request.service().engine().isEmpty()) {
+            return cheapest(request, candidates, Set.of(), nowNanos);
         }
-        ServerState home = home(request.prompt().affinityKey(), candidates);
-        double target = request.route().targetMillis();
-        if (cost(request, home, nowNanos) <= STAY_SHARE * target) {
-            return home;
+        List<ServerState> group = groups(request).group(request, present, nowNanos);
+        List<ServerState> near = new ArrayList<>(candidates);
+        near.retainAll(group);
+        if (!near.isEmpty()) {
+            ServerState home = home(request.prompt().affinityKey(), near);
+            double limit = STAY_SHARE * request.route().targetMillis();
+            if (cost(request, home, nowNanos) <= limit) {
+                return home;
+            }
         }
-        return leastLoaded(request, candidates, nowNanos);
+        Set<ServerState> others = new HashSet<>(candidates);
+        group.forEach(others::remove);
+        return cheapest(request, candidates, others, nowNanos);
+    }
+
+    /**
+     * Returns the division of the engines of a request's service.
+     *
+     * @param request the request
+     * @return the division
+     */
+    private EngineGroups groups(GatewayRequest request) {
+        return mGroups.computeIfAbsent(request.service().name(), name -> new EngineGroups());
     }
 
     /**
@@ -96,16 +142,23 @@
      *
      * @param request the request
      * @param candidates the backend servers
+     * @param others those that are meant for requests that bear other pauses
      * @param nowNanos the local monotonic time
      * @return the cheapest; among equals one in the own failure domain
      */
-    private ServerState leastLoaded(
-            GatewayRequest request, List<ServerState> candidates, long nowNanos) {
-        List<ServerState> sorted = new ArrayList<>(candidates);
-        sorted.sort(
-                Comparator.comparingDouble((ServerState state) -> cost(request, state, nowNanos))
+    private ServerState cheapest(
+            GatewayRequest request,
+            List<ServerState> candidates,
+            Set<ServerState> others,
+            long nowNanos) {
+        double detour = DETOUR_COST * request.route().targetMillis();
+        return Collections.min(
+                candidates,
+                Comparator.comparingDouble(
+                                (ServerState state) ->
+                                        cost(request, state, nowNanos)
+                                                + (others.contains(state) ? detour : 0))
                         .thenComparing(state -> !near(state.entry())));
-        return sorted.get(0);
     }
 
     /**
--- a/router/src/main/java/org/magnoliaseam/gateway/ServerBoard.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/ServerBoard.java
@@ -152,7 +152,7 @@
         if (candidates.isEmpty()) {
             return new Choice.Wait(ErrorKind.OVERLOADED);
         }
-        ServerState chosen = mPlacement.choose(request, candidates, now);
+        ServerState chosen = mPlacement.choose(request, present, candidates, now);
         String reason = mPlacement.describe(request, chosen, candidates.size(), now);
         long tokens = chosen.start(request, mLimits.get().vms(), now);
         return new Choice.Start(chosen, tokens, reason);
@@ -235,6 +235,7 @@
      * @param request the request
      */
     synchronized void firstTry(GatewayRequest request) {
+        mPlacement.arrived(request, mClock.nanos());
         budget(request).firstTry(mLimits.get().retryRatio(), mClock.nanos());
     }
 
--- a/router/src/main/java/org/magnoliaseam/platform/CallerProtocol.java
+++ b/router/src/main/java/org/magnoliaseam/platform/CallerProtocol.java
@@ -5,7 +5,6 @@
 import java.util.Locale;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
-import java.util.function.BooleanSupplier;
 import org.eclipse.jetty.http.HttpField;
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpHeader;
@@ -28,6 +27,7 @@
 import org.magnoliaseam.gateway.Gateway;
 import org.magnoliaseam.gateway.GatewayRequest;
 import org.magnoliaseam.gateway.Publication;
+import org.magnoliaseam.gateway.StopState;
 import org.magnoliaseam.membership.StableHash;
 import org.magnoliaseam.model.RequestId;
 import org.magnoliaseam.time.MonotonicClock;
@@ -41,6 +41,9 @@
     /** The delay before a refused caller may come back in milliseconds. */
     private static final long COME_BACK_MILLIS = 200;
 
+    /** The delay before a caller may come back to another entry VM in milliseconds. */
+    private static final long LEAVING_MILLIS = 10;
+
     /** The time limit for a body in milliseconds. */
     private static final long BODY_MILLIS = 10_000;
 
@@ -56,8 +59,8 @@
     /** Runs requests. */
     private final Gateway mGateway;
 
-    /** Tells whether the process is stopping. */
-    private final BooleanSupplier mStopping;
+    /** How far a planned stop has come. */
+    private final StopState mShutdown;
 
     /** The clock. */
     private final MonotonicClock mClock;
@@ -67,30 +70,30 @@
      *
      * @param publication the catalog in force
      * @param gateway runs requests
-     * @param stopping tells whether the process is stopping, which closes connections after their
-     *     answer
+     * @param shutdown how far a planned stop has come; answers close their connections during it
      * @param clock the clock
      */
     public CallerProtocol(
-            Publication publication,
-            Gateway gateway,
-            BooleanSupplier stopping,
-            MonotonicClock clock) {
+            Publication publication, Gateway gateway, StopState shutdown, MonotonicClock clock) {
         mPublication = publication;
         mGateway = gateway;
-        mStopping = stopping;
+        mShutdown = shutdown;
         mClock = clock;
     }
 
     @Override
     public boolean handle(Request request, Response response, Callback callback) {
         long arrived = mClock.nanos();
-        if (mStopping.getAsBoolean()) {
+        if (mShutdown.leaving()) {
             response.getHeaders().put(HttpHeader.CONNECTION, "close");
         }
         Optional<ObservedEndPoint> endPoint = endPoint(request);
         RequestId id = id(request.getHeaders());
         CallerAnswer answer = new CallerAnswer(response, callback, id);
+        if (mShutdown.closed()) {
+            answer.refuse(Refusal.of(ErrorKind.LEAVING), LEAVING_MILLIS);
+            return true;
+        }
         Optional<Catalog> catalog = mPublication.catalog();
         if (catalog.isEmpty()) {
             answer.refuse(Refusal.of(ErrorKind.NOT_READY), COME_BACK_MILLIS);
--- a/router/src/main/java/org/magnoliaseam/route/GatewayFactory.java
+++ b/router/src/main/java/org/magnoliaseam/route/GatewayFactory.java
@@ -1,7 +1,6 @@
 package org.magnoliaseam.route;
 
 import java.util.concurrent.Executors;
-import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicReference;
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.http.HttpCookieStore;
@@ -18,6 +17,7 @@
 import org.magnoliaseam.gateway.Publication;
 import org.magnoliaseam.gateway.RequestLog;
 import org.magnoliaseam.gateway.ServerBoard;
+import org.magnoliaseam.gateway.StopState;
 import org.magnoliaseam.platform.CallerProtocol;
 import org.magnoliaseam.platform.PlatformFeed;
 import org.magnoliaseam.platform.ServerProtocol;
@@ -48,8 +48,11 @@
     /** The clock. */
     private final MonotonicClock mClock = System::nanoTime;
 
-    /** Whether the process is stopping. */
-    private final AtomicBoolean mStopping = new AtomicBoolean();
+    /** How far a planned stop has come. */
+    private final StopState mShutdown = new StopState();
+
+    /** The connections of callers. */
+    private final ObservedConnectionFactory mConnections;
 
     /** The threads for connections. */
     private final QueuedThreadPool mThreads = new QueuedThreadPool(MAX_THREADS, MIN_THREADS);
@@ -61,6 +64,10 @@
      */
     GatewayFactory(StoreSettings settings) {
         mSettings = settings;
+        HttpConfiguration limits = HttpFactory.limits();
+        limits.setUriCompliance(UriCompliance.UNSAFE);
+        limits.setSendDateHeader(false);
+        mConnections = new ObservedConnectionFactory(limits);
         mThreads.setName("http");
         mThreads.setDaemon(true);
     }
@@ -79,9 +86,9 @@
         ServerProtocol port = new ServerProtocol(client, mClock);
         Gateway gateway = new Gateway(new GatewayParts(board, port, new RequestLog(), mClock));
         PlatformFeed feed = new PlatformFeed(mSettings, client, publication, board);
-        CallerProtocol callers = new CallerProtocol(publication, gateway, mStopping::get, mClock);
+        CallerProtocol callers = new CallerProtocol(publication, gateway, mShutdown, mClock);
         ReadinessHandler readiness =
-                new ReadinessHandler(() -> feed.complete() && !mStopping.get());
+                new ReadinessHandler(() -> feed.complete() && !mShutdown.leaving());
         return new GatewayProcess(
                 mSettings,
                 server(callers, readiness),
@@ -89,7 +96,8 @@
                 feed,
                 gateway,
                 Executors.newSingleThreadScheduledExecutor(new NamedThreads("timer")),
-                mStopping,
+                mShutdown,
+                mConnections,
                 mClock);
     }
 
@@ -117,15 +125,9 @@
      */
     private Server server(Handler callers, Handler readiness) {
         Server server = new Server(mThreads);
-        HttpConfiguration limits = HttpFactory.limits();
-        limits.setUriCompliance(UriCompliance.UNSAFE);
-        limits.setSendDateHeader(false);
         server.addConnector(
                 HttpFactory.connector(
-                        server,
-                        PortHandler.CALLERS,
-                        mSettings.callersAddress(),
-                        new ObservedConnectionFactory(limits)));
+                        server, PortHandler.CALLERS, mSettings.callersAddress(), mConnections));
         server.addConnector(
                 HttpFactory.connector(
                         server,
--- a/router/src/main/java/org/magnoliaseam/route/GatewayProcess.java
+++ b/router/src/main/java/org/magnoliaseam/route/GatewayProcess.java
@@ -2,12 +2,13 @@
 
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicBoolean;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.server.Server;
+import org.magnoliaseam.caller.ObservedConnectionFactory;
 import org.magnoliaseam.gateway.Gateway;
+import org.magnoliaseam.gateway.StopState;
 import org.magnoliaseam.platform.PlatformFeed;
 import org.magnoliaseam.settings.StoreSettings;
 import org.magnoliaseam.time.MonotonicClock;
@@ -19,14 +20,11 @@
     private static final long TICK_MILLIS = 10;
 
     /** The time until the balancer has taken an unready VM out, in milliseconds. */
-    private static final long BALANCER_MILLIS = 3000;
+    private static final long BALANCER_MILLIS = 2500;
 
     /** The time before the end of the grace at which the process ends, in milliseconds. */
     private static final long EXIT_MILLIS = 500;
 
-    /** The time without a request after which a stopping process ends, in milliseconds. */
-    private static final long QUIET_MILLIS = 300;
-
     /** The time between two looks during a planned stop, in milliseconds. */
     private static final long DRAIN_CHECK_MILLIS = 20;
 
@@ -54,8 +52,11 @@
     /** Runs the periodic work. */
     private final ScheduledExecutorService mTimers;
 
-    /** Whether the process is stopping. */
-    private final AtomicBoolean mStopping;
+    /** How far a planned stop has come. */
+    private final StopState mShutdown;
+
+    /** The connections of callers. */
+    private final ObservedConnectionFactory mConnections;
 
     /** The clock. */
     private final MonotonicClock mClock;
@@ -69,7 +70,8 @@
      * @param feed follows the store
      * @param gateway runs requests
      * @param timers runs the periodic work
-     * @param stopping whether the process is stopping
+     * @param shutdown how far a planned stop has come
+     * @param connections the connections of callers
      * @param clock the clock
      */
     GatewayProcess(
@@ -79,7 +81,8 @@
             PlatformFeed feed,
             Gateway gateway,
             ScheduledExecutorService timers,
-            AtomicBoolean stopping,
+            StopState shutdown,
+            ObservedConnectionFactory connections,
             MonotonicClock clock) {
         mSettings = settings;
         mServer = server;
@@ -87,7 +90,8 @@
         mFeed = feed;
         mGateway = gateway;
         mTimers = timers;
-        mStopping = stopping;
+        mShutdown = shutdown;
+        mConnections = connections;
         mClock = clock;
     }
 
@@ -108,24 +112,23 @@
                 mSettings.callersAddress());
     }
 
-    /** Stops the process without cutting a request in progress, as far as the grace allows. */
+    /**
+     * Stops the process without cutting a request in progress, as far as the grace allows. New
+     * requests are taken until the balancer sends no more; then idle connections are closed.
+     */
     void stop() {
         long begin = mClock.nanos();
-        mStopping.set(true);
+        mShutdown.leave();
         LOG.info("route: stopping, active={}", mGateway.active());
-        long quietSince = begin;
         long limit = mSettings.stopGrace().toMillis() - EXIT_MILLIS;
         try {
-            while (millisSince(begin) < limit) {
-                if (mGateway.active() > 0) {
-                    quietSince = mClock.nanos();
-                }
-                boolean quiet = millisSince(quietSince) >= QUIET_MILLIS;
-                if (quiet && millisSince(begin) >= BALANCER_MILLIS) {
-                    break;
-                }
+            TimeUnit.MILLISECONDS.sleep(Math.min(BALANCER_MILLIS, limit));
+            mShutdown.close();
+            do {
+                mConnections.closeIdle();
                 TimeUnit.MILLISECONDS.sleep(DRAIN_CHECK_MILLIS);
-            }
+            } while (mGateway.active() > 0 && millisSince(begin) < limit);
+            TimeUnit.MILLISECONDS.sleep(DRAIN_CHECK_MILLIS);
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
