--- a/router/src/main/java/org/magnoliaseam/gateway/EngineGroups.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/EngineGroups.java
@@ -11,7 +11,9 @@
 /**
  * Divides the engines of a service between requests that bear unlike pauses, since a long prompt
  * delays every stream on its engine. The division follows the demand of each kind; all entry VMs
- * order the engines alike and see about the same demand. Not thread-safe.
+ * order the engines alike and see about the same demand. Shares follow the square root of the
+ * demand, which gives small streams of work the reserve that keeps their waits short (Kleinrock's
+ * capacity assignment). Not thread-safe.
  */
 final class EngineGroups {
 
@@ -25,7 +27,7 @@
     private static final double HYSTERESIS_ENGINES = 0.75;
 
     /** The work of an answer token relative to a prompt token. */
-    private static final double ANSWER_TOKEN_WORK = 10;
+    private static final double ANSWER_TOKEN_WORK = 1;
 
     /** The demand by the longest pause that the requests bear. */
     private final Map<Long, Demand> mDemand = new TreeMap<>();
@@ -145,7 +147,10 @@
      * @return the shares in engines
      */
     private double[] shares(int engines, long nowNanos) {
-        double[] work = mDemand.values().stream().mapToDouble(kind -> kind.at(nowNanos)).toArray();
+        double[] work =
+                mDemand.values().stream()
+                        .mapToDouble(kind -> Math.sqrt(kind.at(nowNanos)))
+                        .toArray();
         double total = Arrays.stream(work).sum();
         for (int i = 0; i < work.length; i++) {
             work[i] = total > 0 ? work[i] / total * engines : (double) engines / work.length;
--- a/router/src/main/java/org/magnoliaseam/gateway/GatewayCall.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/GatewayCall.java
@@ -103,6 +103,15 @@
         return mRequest;
     }
 
+    /**
+     * Notes the time between two events of a stream.
+     *
+     * @param nanos the time in nanoseconds
+     */
+    synchronized void paused(long nanos) {
+        mRecord.paused(nanos);
+    }
+
     /** Starts the first try. */
     synchronized void begin() {
         mParts.board().firstTry(mRequest);
--- a/router/src/main/java/org/magnoliaseam/gateway/GatewayRequest.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/GatewayRequest.java
@@ -40,13 +40,18 @@
         long arrivedNanos,
         long deadlineNanos) {
 
+    /** The ranks of routes that are told apart within the rank of an account. */
+    private static final int ROUTE_RANKS = 3;
+
     /**
-     * Returns the rank of the request, 0 first.
+     * Returns the rank of the request, 0 first: the rank of the account goes before the rank of the
+     * route.
      *
-     * @return the rank of the account, or of the route if the account has none
+     * @return the rank
      */
     public int priority() {
-        int own = route.priority();
-        return account.map(found -> found.priority().orElse(own)).orElse(own);
+        int own = Math.max(0, Math.min(ROUTE_RANKS - 1, route.priority()));
+        int accountRank = account.map(found -> found.priority().orElse(0)).orElse(0);
+        return accountRank * ROUTE_RANKS + own;
     }
 }
--- a/router/src/main/java/org/magnoliaseam/gateway/GatewayTry.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/GatewayTry.java
@@ -238,6 +238,8 @@
             mRead = true;
             double millis = (now - mProgressNanos) / NANOS_PER_MILLI;
             mParts.board().read(server(), mStart.unreadTokens(), millis);
+        } else {
+            mCall.paused(now - mProgressNanos);
         }
         mProgressNanos = now;
     }
--- a/router/src/main/java/org/magnoliaseam/gateway/Placement.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/Placement.java
@@ -26,7 +26,7 @@
     private static final double FAILURE_COST = 2.0;
 
     /** The cost of an engine meant for other requests, as a multiple of the target. */
-    private static final double DETOUR_COST = 0.7;
+    private static final double DETOUR_COST = 0.4;
 
     /** The division of the engines of each service. */
     private final Map<ServiceName, EngineGroups> mGroups = new HashMap<>();
@@ -72,19 +72,20 @@
         if (request.service().engine().isEmpty()) {
             return cheapest(request, candidates, Set.of(), nowNanos);
         }
-        List<ServerState> group = groups(request).group(request, present, nowNanos);
-        List<ServerState> near = new ArrayList<>(candidates);
-        near.retainAll(group);
-        if (!near.isEmpty()) {
-            ServerState home = home(request.prompt().affinityKey(), near);
+        EngineGroups.Group group = groups(request).group(request, present, nowNanos);
+        List<ServerState> own = new ArrayList<>(candidates);
+        own.retainAll(group.own());
+        if (!own.isEmpty()) {
+            ServerState home = home(request.prompt().affinityKey(), own);
             double limit = STAY_SHARE * request.route().targetMillis();
             if (cost(request, home, nowNanos) <= limit) {
                 return home;
             }
         }
-        Set<ServerState> others = new HashSet<>(candidates);
-        group.forEach(others::remove);
-        return cheapest(request, candidates, others, nowNanos);
+        List<ServerState> allowed = new ArrayList<>(candidates);
+        allowed.removeIf(state -> !group.own().contains(state) && !group.laxer().contains(state));
+        Set<ServerState> laxer = new HashSet<>(group.laxer());
+        return cheapest(request, allowed.isEmpty() ? candidates : allowed, laxer, nowNanos);
     }
 
     /**
@@ -142,7 +143,7 @@
      *
      * @param request the request
      * @param candidates the backend servers
-     * @param others those that are meant for requests that bear other pauses
+     * @param others those that are meant for requests that bear longer pauses
      * @param nowNanos the local monotonic time
      * @return the cheapest; among equals one in the own failure domain
      */
--- a/router/src/main/java/org/magnoliaseam/gateway/RequestLog.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/RequestLog.java
@@ -34,6 +34,9 @@
         line.put("catalog", request.catalogVersion());
         line.put("priority", request.priority());
         line.put("prompt_tokens", request.prompt().tokens());
+        line.put("target_ms", request.route().targetMillis());
+        line.put("pause_target_ms", request.route().pauseTargetMillis());
+        line.put("pause_ms", Math.round(record.longestPauseNanos() / NANOS_PER_MILLI));
         line.put("deadline_ms", millis(request.deadlineNanos(), request));
         line.put("outcome", outcome);
         line.put("ms", millis(nowNanos, request));
--- a/router/src/main/java/org/magnoliaseam/gateway/RequestRecord.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/RequestRecord.java
@@ -22,6 +22,9 @@
     /** The steps in order. */
     private final List<Step> mSteps = new ArrayList<>(4);
 
+    /** The longest time between two events in nanoseconds. */
+    private long mLongestPauseNanos;
+
     /**
      * Creates an account.
      *
@@ -43,6 +46,24 @@
         mSteps.add(new Step(kind, server, detail, nanos));
     }
 
+    /**
+     * Notes the time between two events of a stream.
+     *
+     * @param nanos the time in nanoseconds
+     */
+    void paused(long nanos) {
+        mLongestPauseNanos = Math.max(mLongestPauseNanos, nanos);
+    }
+
+    /**
+     * Returns the longest time between two events.
+     *
+     * @return the time in nanoseconds; 0 if there was none
+     */
+    long longestPauseNanos() {
+        return mLongestPauseNanos;
+    }
+
     /**
      * Returns the request.
      *
--- a/router/src/main/java/org/magnoliaseam/platform/ServerProtocol.java
+++ b/router/src/main/java/org/magnoliaseam/platform/ServerProtocol.java
@@ -2,9 +2,12 @@
 
 import java.net.InetSocketAddress;
 import java.util.concurrent.TimeUnit;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 import org.eclipse.jetty.client.BytesRequestContent;
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.client.Request;
+import org.eclipse.jetty.client.Response;
 import org.eclipse.jetty.client.Result;
 import org.eclipse.jetty.http.HttpHeader;
 import org.magnoliaseam.backend.CallCancelledException;
@@ -25,6 +28,12 @@
     /** The time by which a try may exceed its deadline before it is ended here, in milliseconds. */
     private static final long DEADLINE_SLACK_MILLIS = 1000;
 
+    /** The statement of how long a connection may stay unused, in seconds. */
+    private static final Pattern KEEP_ALIVE_TIMEOUT = Pattern.compile("timeout=(\\d{1,6})");
+
+    /** The time by which connections end before the backend servers close them. */
+    private static final long KEEP_ALIVE_MARGIN_MILLIS = 1500;
+
     /** The HTTP client. */
     private final HttpClient mClient;
 
@@ -75,11 +84,29 @@
         ServerExchange exchange = new ServerExchange(wanted.id(), listener);
         request.onRequestBegin(exchange::sending);
         request.onResponseHeaders(exchange::head);
+        request.onResponseHeaders(this::keepAlive);
         request.onResponseContentSource(exchange::content);
         request.send((Result result) -> exchange.complete(result));
         return () -> request.abort(new CallCancelledException());
     }
 
+    /**
+     * Lets unused connections end shortly before the backend servers close them.
+     *
+     * @param response an answer, which states how long its connection may stay unused
+     */
+    private void keepAlive(Response response) {
+        String text = response.getHeaders().get(HttpHeader.KEEP_ALIVE);
+        Matcher matcher = KEEP_ALIVE_TIMEOUT.matcher(text == null ? "" : text);
+        if (matcher.find()) {
+            long stated = TimeUnit.SECONDS.toMillis(Long.parseLong(matcher.group(1)));
+            long idle = stated - Math.min(KEEP_ALIVE_MARGIN_MILLIS, stated / 2);
+            if (idle > 0 && idle != mClient.getIdleTimeout()) {
+                mClient.setIdleTimeout(idle);
+            }
+        }
+    }
+
     /**
      * Returns the media type of the body.
      *
