--- a/router/src/main/java/org/magnoliaseam/gateway/EngineGroups.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/EngineGroups.java
@@ -86,24 +86,33 @@
         mDemand.computeIfAbsent(key(request), pause -> new Demand()).add(work, nowNanos);
     }
 
+    /**
+     * Holds the engines for the requests that bear the same pause.
+     *
+     * @param own the engines meant for them, at least one
+     * @param laxer the engines meant for requests that bear longer pauses, which may help out
+     */
+    record Group(List<ServerState> own, List<ServerState> laxer) {}
+
     /**
      * Returns the engines for the requests that bear the same pause.
      *
      * @param request the request
      * @param engines the engines of the service
      * @param nowNanos the local monotonic time
-     * @return some of them, at least one
+     * @return the group
      */
-    List<ServerState> group(GatewayRequest request, List<ServerState> engines, long nowNanos) {
+    Group group(GatewayRequest request, List<ServerState> engines, long nowNanos) {
         review(engines.size(), nowNanos);
         int kind = new ArrayList<>(mDemand.keySet()).indexOf(key(request));
         if (kind < 0 || engines.size() < mSizes.length) {
-            return engines;
+            return new Group(engines, List.of());
         }
         List<ServerState> ordered = new ArrayList<>(engines);
         ordered.sort(Comparator.comparingLong(state -> StableHash.of(state.id().value(), 0)));
         int begin = Arrays.stream(mSizes, 0, kind).sum();
-        return ordered.subList(begin, begin + mSizes[kind]);
+        int end = begin + mSizes[kind];
+        return new Group(ordered.subList(begin, end), ordered.subList(end, ordered.size()));
     }
 
     /**
