--- a/router/src/main/java/org/magnoliaseam/gateway/EngineGroups.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/EngineGroups.java
@@ -6,7 +6,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import org.magnoliaseam.gossip.Demand;
 import org.magnoliaseam.membership.StableHash;
+import org.magnoliaseam.model.ServiceName;
 
 /**
  * Divides the engines of a service between requests that bear unlike pauses, since a long prompt
@@ -29,8 +31,14 @@
     /** The work of an answer token relative to a prompt token. */
     private static final double ANSWER_TOKEN_WORK = 1;
 
+    /** The service. */
+    private final ServiceName mService;
+
+    /** What the other entry VMs tell. */
+    private final ForeignLoads mForeign;
+
     /** The demand by the longest pause that the requests bear. */
-    private final Map<Long, Demand> mDemand = new TreeMap<>();
+    private final Map<Long, DemandMeter> mDemand = new TreeMap<>();
 
     /** The engines of each kind of request, in the order of the pauses. */
     private int[] mSizes = {};
@@ -42,7 +50,7 @@
     private long mReviewedNanos;
 
     /** Measures the work that one kind of request brings. */
-    private static final class Demand {
+    private static final class DemandMeter {
 
         /** The work, of which old parts have lost weight. */
         private double mWork;
@@ -72,6 +80,30 @@
         }
     }
 
+    /**
+     * Creates a division.
+     *
+     * @param service the service
+     * @param foreign what the other entry VMs tell
+     */
+    EngineGroups(ServiceName service, ForeignLoads foreign) {
+        mService = service;
+        mForeign = foreign;
+    }
+
+    /**
+     * Returns the work that this entry VM got lately.
+     *
+     * @param nowNanos the local monotonic time
+     * @return the work of each kind of request
+     */
+    List<Demand> demands(long nowNanos) {
+        List<Demand> demands = new ArrayList<>();
+        mDemand.forEach(
+                (pause, meter) -> demands.add(new Demand(mService, pause, meter.at(nowNanos))));
+        return demands;
+    }
+
     /**
      * Counts the work of a request.
      *
@@ -83,7 +115,7 @@
         List<PromptPart> parts = prompt.parts();
         int own = parts.isEmpty() ? prompt.tokens() : parts.get(parts.size() - 1).tokens();
         double work = own + ANSWER_TOKEN_WORK * prompt.maxOutputTokens();
-        mDemand.computeIfAbsent(key(request), pause -> new Demand()).add(work, nowNanos);
+        mDemand.computeIfAbsent(key(request), pause -> new DemandMeter()).add(work, nowNanos);
     }
 
     /**
@@ -156,10 +188,12 @@
      * @return the shares in engines
      */
     private double[] shares(int engines, long nowNanos) {
-        double[] work =
-                mDemand.values().stream()
-                        .mapToDouble(kind -> Math.sqrt(kind.at(nowNanos)))
-                        .toArray();
+        double[] work = new double[mDemand.size()];
+        int kind = 0;
+        for (Map.Entry<Long, DemandMeter> entry : mDemand.entrySet()) {
+            double foreign = mForeign.work(mService, entry.getKey());
+            work[kind++] = Math.sqrt(entry.getValue().at(nowNanos) + foreign);
+        }
         double total = Arrays.stream(work).sum();
         for (int i = 0; i < work.length; i++) {
             work[i] = total > 0 ? work[i] / total * engines : (double) engines / work.length;
--- a/router/src/main/java/org/magnoliaseam/gateway/Placement.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/Placement.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Set;
 import org.magnoliaseam.catalog.ServerEntry;
+import org.magnoliaseam.gossip.Demand;
 import org.magnoliaseam.membership.StableHash;
 import org.magnoliaseam.model.FailureDomain;
 import org.magnoliaseam.model.ServiceName;
@@ -34,13 +35,30 @@
     /** The failure domain of this entry VM. */
     private final FailureDomain mOwnDomain;
 
+    /** What the other entry VMs have running. */
+    private final ForeignLoads mForeign;
+
     /**
      * Creates a rule.
      *
      * @param ownDomain the failure domain of this entry VM
+     * @param foreign what the other entry VMs have running
      */
-    Placement(FailureDomain ownDomain) {
+    Placement(FailureDomain ownDomain, ForeignLoads foreign) {
         mOwnDomain = ownDomain;
+        mForeign = foreign;
+    }
+
+    /**
+     * Returns the work that this entry VM got lately.
+     *
+     * @param nowNanos the local monotonic time
+     * @return the work of each kind of request
+     */
+    List<Demand> demands(long nowNanos) {
+        List<Demand> demands = new ArrayList<>();
+        mGroups.values().forEach(groups -> demands.addAll(groups.demands(nowNanos)));
+        return demands;
     }
 
     /**
@@ -95,7 +113,8 @@
      * @return the division
      */
     private EngineGroups groups(GatewayRequest request) {
-        return mGroups.computeIfAbsent(request.service().name(), name -> new EngineGroups());
+        return mGroups.computeIfAbsent(
+                request.service().name(), name -> new EngineGroups(name, mForeign));
     }
 
     /**
@@ -115,7 +134,7 @@
                 + " running="
                 + chosen.running()
                 + " occupied="
-                + chosen.occupied(nowNanos);
+                + chosen.occupied(mForeign, nowNanos);
     }
 
     /**
@@ -180,11 +199,11 @@
      * @param nowNanos the local monotonic time
      * @return the cost in milliseconds
      */
-    private static double cost(GatewayRequest request, ServerState state, long nowNanos) {
+    private double cost(GatewayRequest request, ServerState state, long nowNanos) {
         double target = request.route().targetMillis();
         double slots = Math.max(1, state.entry().slots());
-        double fullness = state.occupied(nowNanos) / slots;
+        double fullness = state.occupied(mForeign, nowNanos) / slots;
         double failures = FAILURE_COST * state.failures().rate() * target;
-        return state.readMillis(request.prompt()) + fullness * target + failures;
+        return state.readMillis(request.prompt(), mForeign) + fullness * target + failures;
     }
 }
--- a/router/src/main/java/org/magnoliaseam/gateway/ServerBoard.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/ServerBoard.java
@@ -8,14 +8,19 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.function.DoubleSupplier;
 import java.util.function.Predicate;
-import java.util.function.Supplier;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.magnoliaseam.backend.BackendFailure;
 import org.magnoliaseam.catalog.ServerEntry;
 import org.magnoliaseam.catalog.Service;
 import org.magnoliaseam.error.ErrorKind;
+import org.magnoliaseam.gossip.Demand;
+import org.magnoliaseam.gossip.Digest;
+import org.magnoliaseam.gossip.GossipListener;
+import org.magnoliaseam.gossip.PeerEndpoint;
+import org.magnoliaseam.gossip.ServerLoad;
 import org.magnoliaseam.model.BackendServerId;
 import org.magnoliaseam.model.FailureDomain;
 import org.magnoliaseam.model.ServiceName;
@@ -23,7 +28,10 @@
 import org.magnoliaseam.time.MonotonicClock;
 
 /** Knows the backend servers and what runs there, and chooses one for each try. Thread-safe. */
-public final class ServerBoard {
+public final class ServerBoard implements GossipListener {
+
+    /** The entry VMs that may share a limit while their number is unknown. */
+    private static final int ASSUMED_VMS = 8;
 
     /** Writes changes of what the process believes. */
     private static final Logger LOG = LogManager.getLogger("board");
@@ -40,23 +48,28 @@
     /** Ranks backend servers. */
     private final Placement mPlacement;
 
-    /** The limits that all entry VMs share. */
-    private final Supplier<FleetLimits> mLimits;
+    /** What the other entry VMs have running. */
+    private final ForeignLoads mForeign = new ForeignLoads();
+
+    /** The retries allowed as a fraction of first tries. */
+    private final DoubleSupplier mRetryRatio;
 
     /** The clock. */
     private final MonotonicClock mClock;
 
+    /** The entry VMs that may live, which share each limit. */
+    private int mVms = ASSUMED_VMS;
+
     /**
      * Creates a board without backend servers.
      *
      * @param ownDomain the failure domain of this entry VM
-     * @param limits the limits that all entry VMs share
+     * @param retryRatio the retries allowed as a fraction of first tries
      * @param clock the clock
      */
-    public ServerBoard(
-            FailureDomain ownDomain, Supplier<FleetLimits> limits, MonotonicClock clock) {
-        mPlacement = new Placement(ownDomain);
-        mLimits = limits;
+    public ServerBoard(FailureDomain ownDomain, DoubleSupplier retryRatio, MonotonicClock clock) {
+        mPlacement = new Placement(ownDomain, mForeign);
+        mRetryRatio = retryRatio;
         mClock = clock;
     }
 
@@ -125,6 +138,36 @@
         return mServers.size();
     }
 
+    @Override
+    public synchronized List<ServerLoad> loads() {
+        List<ServerLoad> loads = new ArrayList<>();
+        for (ServerState state : mServers.values()) {
+            if (state.running() > 0) {
+                loads.add(new ServerLoad(state.id(), state.running(), state.pendingTokens()));
+            }
+        }
+        return loads;
+    }
+
+    @Override
+    public synchronized List<Demand> demands() {
+        return mPlacement.demands(mClock.nanos());
+    }
+
+    @Override
+    public synchronized void heard(PeerEndpoint peer, Digest digest) {
+        mForeign.heard(peer, digest, mClock.nanos());
+    }
+
+    @Override
+    public synchronized void vms(int vms) {
+        mForeign.expire(mClock.nanos());
+        if (vms != mVms) {
+            LOG.info("board: entry VMs that share the limits, before={} now={}", mVms, vms);
+            mVms = vms;
+        }
+    }
+
     /**
      * Chooses a backend server for a try and counts the try.
      *
@@ -141,7 +184,7 @@
         List<ServerState> open = new ArrayList<>();
         for (ServerState state : present) {
             boolean fresh = !excluded.contains(state.id());
-            if (fresh && state.bears(request.service(), mLimits.get().vms(), now)) {
+            if (fresh && state.bears(request.service(), mVms, now)) {
                 open.add(state);
             }
         }
@@ -154,7 +197,7 @@
         }
         ServerState chosen = mPlacement.choose(request, present, candidates, now);
         String reason = mPlacement.describe(request, chosen, candidates.size(), now);
-        long tokens = chosen.start(request, mLimits.get().vms(), now);
+        long tokens = chosen.start(request, mVms, now);
         return new Choice.Start(chosen, tokens, reason);
     }
 
@@ -236,7 +279,7 @@
      */
     synchronized void firstTry(GatewayRequest request) {
         mPlacement.arrived(request, mClock.nanos());
-        budget(request).firstTry(mLimits.get().retryRatio(), mClock.nanos());
+        budget(request).firstTry(mRetryRatio.getAsDouble(), mClock.nanos());
     }
 
     /**
@@ -246,7 +289,7 @@
      * @return true if the request may be tried again
      */
     synchronized boolean tryRetry(GatewayRequest request) {
-        return budget(request).take(mLimits.get().retryRatio(), mClock.nanos()).allowed();
+        return budget(request).take(mRetryRatio.getAsDouble(), mClock.nanos()).allowed();
     }
 
     /**
@@ -280,8 +323,9 @@
      * @param nowNanos the local monotonic time
      * @return true if as many requests run and wait there as it has slots
      */
-    private static boolean full(ServerState state, long nowNanos) {
-        return state.entry().slots() > 0 && state.occupied(nowNanos) >= state.entry().slots();
+    private boolean full(ServerState state, long nowNanos) {
+        int slots = state.entry().slots();
+        return slots > 0 && state.occupied(mForeign, nowNanos) >= slots;
     }
 
     /**
--- a/router/src/main/java/org/magnoliaseam/gateway/ServerState.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/ServerState.java
@@ -238,24 +238,37 @@
         return mRunning;
     }
 
+    /**
+     * Returns the prompt tokens that this entry VM waits for.
+     *
+     * @return the tokens
+     */
+    long pendingTokens() {
+        return mPendingTokens;
+    }
+
     /**
      * Estimates the requests of all entry VMs.
      *
+     * @param foreign what the other entry VMs have running
      * @param nowNanos the local monotonic time
-     * @return the larger of the own tries and the stated load
+     * @return the larger of the known tries and the stated load
      */
-    int occupied(long nowNanos) {
+    int occupied(ForeignLoads foreign, long nowNanos) {
+        int known = mRunning + foreign.running(id());
         boolean valid = nowNanos - mLoadNanos < LOAD_VALID_NANOS;
-        return valid ? Math.max(mRunning, mLoad.running() + mLoad.waiting()) : mRunning;
+        return valid ? Math.max(known, mLoad.running() + mLoad.waiting()) : known;
     }
 
     /**
      * Predicts the time that reading takes before a request's first event.
      *
      * @param prompt the prompt of the request
+     * @param foreign what the other entry VMs have running
      * @return the time in milliseconds
      */
-    double readMillis(Prompt prompt) {
-        return (mPendingTokens + unreadTokens(prompt)) / mTokensPerMilli;
+    double readMillis(Prompt prompt, ForeignLoads foreign) {
+        long waiting = mPendingTokens + foreign.pendingTokens(id());
+        return (waiting + unreadTokens(prompt)) / mTokensPerMilli;
     }
 }
--- /dev/null
+++ b/router/src/main/java/org/magnoliaseam/gossip/GossipListener.java
@@ -0,0 +1,36 @@
+package org.magnoliaseam.gossip;
+
+import java.util.List;
+
+/** Gives what this entry VM tells, and takes what the others tell. */
+public interface GossipListener {
+
+    /**
+     * Returns what this entry VM has running at backend servers.
+     *
+     * @return the loads that are not zero
+     */
+    List<ServerLoad> loads();
+
+    /**
+     * Returns the work that this entry VM got lately.
+     *
+     * @return the demands
+     */
+    List<Demand> demands();
+
+    /**
+     * Takes what a peer tells.
+     *
+     * @param peer the peer
+     * @param digest what it tells
+     */
+    void heard(PeerEndpoint peer, Digest digest);
+
+    /**
+     * Takes the number of entry VMs that may live.
+     *
+     * @param vms the number with this one
+     */
+    void vms(int vms);
+}
--- /dev/null
+++ b/router/src/main/java/org/magnoliaseam/gossip/PeerEndpoint.java
@@ -0,0 +1,35 @@
+package org.magnoliaseam.gossip;
+
+import java.net.InetSocketAddress;
+
+/**
+ * Names an entry VM by its peer address.
+ *
+ * @param host the IP number
+ * @param port the port
+ */
+public record PeerEndpoint(String host, int port) {
+
+    /**
+     * Converts an address.
+     *
+     * @param address the address
+     * @return the endpoint
+     */
+    public static PeerEndpoint of(InetSocketAddress address) {
+        String host =
+                address.isUnresolved()
+                        ? address.getHostString()
+                        : address.getAddress().getHostAddress();
+        return new PeerEndpoint(host, address.getPort());
+    }
+
+    /**
+     * Returns the address.
+     *
+     * @return the address to send to
+     */
+    InetSocketAddress address() {
+        return new InetSocketAddress(host, port);
+    }
+}
--- a/router/src/main/java/org/magnoliaseam/platform/ServerExchange.java
+++ b/router/src/main/java/org/magnoliaseam/platform/ServerExchange.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeoutException;
+import org.eclipse.jetty.client.Connection;
 import org.eclipse.jetty.client.Request;
 import org.eclipse.jetty.client.Response;
 import org.eclipse.jetty.client.Result;
@@ -12,9 +13,11 @@
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.http.HttpStatus;
+import org.eclipse.jetty.io.AbstractConnection;
 import org.eclipse.jetty.io.Content;
 import org.magnoliaseam.backend.BackendFailure;
 import org.magnoliaseam.backend.CallCancelledException;
+import org.magnoliaseam.backend.ResetAwareEndPoint;
 import org.magnoliaseam.exchange.AnswerHead;
 import org.magnoliaseam.exchange.Header;
 import org.magnoliaseam.gateway.ReportedLoad;
@@ -42,6 +45,9 @@
     /** Why the answer is unusable; null while it is usable. */
     private volatile BackendFailure mFault;
 
+    /** The connection of the answer; null before its head. */
+    private volatile Connection mConnection;
+
     /** What is wrong with the answer. */
     private volatile String mDetail = "";
 
@@ -75,6 +81,7 @@
      * @param response the answer
      */
     void head(Response response) {
+        mConnection = response.getRequest().getConnection();
         HttpFields fields = response.getHeaders();
         String id = fields.get(WireNames.REQUEST_ID);
         if (!mId.value().equals(id)) {
@@ -140,6 +147,8 @@
             mListener.failed(BackendFailure.HELD_BACK, "The facts changed before the send.");
         } else if (mFault != null) {
             mListener.failed(mFault, mDetail);
+        } else if (result.isSucceeded() && reset()) {
+            mListener.failed(BackendFailure.CONNECTION_LOST, "The connection was reset.");
         } else if (result.isSucceeded()) {
             mListener.ended();
         } else {
@@ -147,6 +156,18 @@
         }
     }
 
+    /**
+     * Tells whether the connection of the answer ended with a reset, after which an answer that
+     * ends with its connection is not whole.
+     *
+     * @return true after a reset
+     */
+    private boolean reset() {
+        return mConnection instanceof AbstractConnection connection
+                && connection.getEndPoint() instanceof ResetAwareEndPoint endPoint
+                && endPoint.reset();
+    }
+
     /**
      * Marks the answer as unusable and closes its connection.
      *
--- a/router/src/main/java/org/magnoliaseam/route/GatewayFactory.java
+++ b/router/src/main/java/org/magnoliaseam/route/GatewayFactory.java
@@ -1,7 +1,6 @@
 package org.magnoliaseam.route;
 
 import java.util.concurrent.Executors;
-import java.util.concurrent.atomic.AtomicReference;
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.http.HttpCookieStore;
 import org.eclipse.jetty.http.UriCompliance;
@@ -11,13 +10,13 @@
 import org.eclipse.jetty.server.Server;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
 import org.magnoliaseam.caller.ObservedConnectionFactory;
-import org.magnoliaseam.gateway.FleetLimits;
 import org.magnoliaseam.gateway.Gateway;
 import org.magnoliaseam.gateway.GatewayParts;
 import org.magnoliaseam.gateway.Publication;
 import org.magnoliaseam.gateway.RequestLog;
 import org.magnoliaseam.gateway.ServerBoard;
 import org.magnoliaseam.gateway.StopState;
+import org.magnoliaseam.gossip.GossipNode;
 import org.magnoliaseam.platform.CallerProtocol;
 import org.magnoliaseam.platform.PlatformFeed;
 import org.magnoliaseam.platform.ServerProtocol;
@@ -27,9 +26,6 @@
 /** Puts a process together whose site a metadata store publishes. */
 final class GatewayFactory {
 
-    /** The entry VMs that may share a limit while their number is unknown. */
-    private static final int ASSUMED_VMS = 8;
-
     /** The threads of the process for connections. */
     private static final int MAX_THREADS = 24;
 
@@ -42,9 +38,12 @@
     /** The time after which an unused connection to a backend server is closed, in milliseconds. */
     private static final long IDLE_MILLIS = 2500;
 
-    /** The settings of the process. */
+    /** The settings at the start. */
     private final StoreSettings mSettings;
 
+    /** The settings in force. */
+    private final SettingsReload mReload;
+
     /** The clock. */
     private final MonotonicClock mClock = System::nanoTime;
 
@@ -60,10 +59,11 @@
     /**
      * Creates a factory.
      *
-     * @param settings the settings of the process
+     * @param reload the settings of the process
      */
-    GatewayFactory(StoreSettings settings) {
-        mSettings = settings;
+    GatewayFactory(SettingsReload reload) {
+        mReload = reload;
+        mSettings = reload.get();
         HttpConfiguration limits = HttpFactory.limits();
         limits.setUriCompliance(UriCompliance.UNSAFE);
         limits.setSendDateHeader(false);
@@ -78,10 +78,10 @@
      * @return the process, not yet started
      */
     GatewayProcess process() {
-        AtomicReference<FleetLimits> limits =
-                new AtomicReference<>(new FleetLimits(ASSUMED_VMS, mSettings.retryRatio()));
         Publication publication = new Publication(mClock);
-        ServerBoard board = new ServerBoard(mSettings.failureDomain(), limits::get, mClock);
+        ServerBoard board =
+                new ServerBoard(
+                        mSettings.failureDomain(), () -> mReload.get().retryRatio(), mClock);
         HttpClient client = client();
         ServerProtocol port = new ServerProtocol(client, mClock);
         Gateway gateway = new Gateway(new GatewayParts(board, port, new RequestLog(), mClock));
@@ -90,10 +90,11 @@
         ReadinessHandler readiness =
                 new ReadinessHandler(() -> feed.complete() && !mShutdown.leaving());
         return new GatewayProcess(
-                mSettings,
+                mReload,
                 server(callers, readiness),
                 client,
                 feed,
+                new GossipNode(mSettings.peersAddress(), mSettings.seeds(), board, mClock),
                 gateway,
                 Executors.newSingleThreadScheduledExecutor(new NamedThreads("timer")),
                 mShutdown,
--- a/router/src/main/java/org/magnoliaseam/route/GatewayProcess.java
+++ b/router/src/main/java/org/magnoliaseam/route/GatewayProcess.java
@@ -9,6 +9,7 @@
 import org.magnoliaseam.caller.ObservedConnectionFactory;
 import org.magnoliaseam.gateway.Gateway;
 import org.magnoliaseam.gateway.StopState;
+import org.magnoliaseam.gossip.GossipNode;
 import org.magnoliaseam.platform.PlatformFeed;
 import org.magnoliaseam.settings.StoreSettings;
 import org.magnoliaseam.time.MonotonicClock;
@@ -19,6 +20,9 @@
     /** The time between two looks at the requests in progress, in milliseconds. */
     private static final long TICK_MILLIS = 10;
 
+    /** The time between two looks at the settings file, in milliseconds. */
+    private static final long RELOAD_MILLIS = 2000;
+
     /** The time until the balancer has taken an unready VM out, in milliseconds. */
     private static final long BALANCER_MILLIS = 2500;
 
@@ -35,7 +39,7 @@
     private static final Logger LOG = LogManager.getLogger("route");
 
     /** The settings of the process. */
-    private final StoreSettings mSettings;
+    private final SettingsReload mReload;
 
     /** The ports for callers, readiness and operators. */
     private final Server mServer;
@@ -46,6 +50,9 @@
     /** Follows the store. */
     private final PlatformFeed mFeed;
 
+    /** Talks to the other entry VMs. */
+    private final GossipNode mGossip;
+
     /** Runs requests. */
     private final Gateway mGateway;
 
@@ -64,10 +71,11 @@
     /**
      * Creates a process.
      *
-     * @param settings the settings of the process
+     * @param reload the settings of the process
      * @param server the ports, not yet started
      * @param client the client, not yet started
      * @param feed follows the store
+     * @param gossip talks to the other entry VMs
      * @param gateway runs requests
      * @param timers runs the periodic work
      * @param shutdown how far a planned stop has come
@@ -75,19 +83,21 @@
      * @param clock the clock
      */
     GatewayProcess(
-            StoreSettings settings,
+            SettingsReload reload,
             Server server,
             HttpClient client,
             PlatformFeed feed,
+            GossipNode gossip,
             Gateway gateway,
             ScheduledExecutorService timers,
             StopState shutdown,
             ObservedConnectionFactory connections,
             MonotonicClock clock) {
-        mSettings = settings;
+        mReload = reload;
         mServer = server;
         mClient = client;
         mFeed = feed;
+        mGossip = gossip;
         mGateway = gateway;
         mTimers = timers;
         mShutdown = shutdown;
@@ -104,12 +114,16 @@
         mClient.start();
         mFeed.start();
         mServer.start();
+        mGossip.start(mTimers);
         mTimers.scheduleWithFixedDelay(this::tick, TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
+        mTimers.scheduleWithFixedDelay(
+                () -> mReload.check(false), RELOAD_MILLIS, RELOAD_MILLIS, TimeUnit.MILLISECONDS);
+        StoreSettings settings = mReload.get();
         LOG.info(
                 "route: started, vm={} domain={} callers={}",
-                mSettings.vm(),
-                mSettings.failureDomain(),
-                mSettings.callersAddress());
+                settings.vm(),
+                settings.failureDomain(),
+                settings.callersAddress());
     }
 
     /**
@@ -120,7 +134,7 @@
         long begin = mClock.nanos();
         mShutdown.leave();
         LOG.info("route: stopping, active={}", mGateway.active());
-        long limit = mSettings.stopGrace().toMillis() - EXIT_MILLIS;
+        long limit = mReload.get().stopGrace().toMillis() - EXIT_MILLIS;
         try {
             TimeUnit.MILLISECONDS.sleep(Math.min(BALANCER_MILLIS, limit));
             mShutdown.close();
@@ -132,6 +146,7 @@
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
+        mGossip.stop();
         mFeed.stop();
         LOG.info("route: stopped, active={}", mGateway.active());
     }
--- a/router/src/main/java/org/magnoliaseam/route/GatewayRunner.java
+++ b/router/src/main/java/org/magnoliaseam/route/GatewayRunner.java
@@ -5,6 +5,7 @@
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.magnoliaseam.settings.StoreSettings;
+import sun.misc.Signal;
 
 /** Runs a process whose site a metadata store publishes until a signal stops it. */
 public final class GatewayRunner {
@@ -12,6 +13,9 @@
     /** Writes failed starts. */
     private static final Logger LOG = LogManager.getLogger("route");
 
+    /** The signal that says that the settings file has changed. */
+    private static final String RELOAD_SIGNAL = "HUP";
+
     /** Prevents instances of this utility class. */
     private GatewayRunner() {}
 
@@ -24,8 +28,10 @@
      */
     public static int run(StoreSettings settings, Path file) {
         try {
-            GatewayProcess process = new GatewayFactory(settings).process();
+            SettingsReload reload = new SettingsReload(settings, file);
+            GatewayProcess process = new GatewayFactory(reload).process();
             process.start();
+            Signal.handle(new Signal(RELOAD_SIGNAL), signal -> reload.check(true));
             Runtime.getRuntime()
                     .addShutdownHook(new Thread(() -> stopPlanned(process), "shutdown"));
             new CountDownLatch(1).await();
--- a/router/src/main/java/org/magnoliaseam/route/HttpFactory.java
+++ b/router/src/main/java/org/magnoliaseam/route/HttpFactory.java
@@ -12,6 +12,7 @@
 import org.eclipse.jetty.server.Server;
 import org.eclipse.jetty.server.ServerConnector;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
+import org.magnoliaseam.backend.ResetAwareConnector;
 
 /** Creates the HTTP servers and clients with their limits. */
 final class HttpFactory {
@@ -130,7 +131,7 @@
         QueuedThreadPool threads = new QueuedThreadPool(CLIENT_THREADS, 2);
         threads.setName(name);
         threads.setDaemon(true);
-        ClientConnector connector = new ClientConnector();
+        ClientConnector connector = new ResetAwareConnector();
         connector.setSelectors(1);
         HttpClient client = new HttpClient(new HttpClientTransportOverHTTP(connector));
         client.setExecutor(threads);
--- /dev/null
+++ b/router/src/test/java/org/magnoliaseam/gateway/GatewayFixtures.java
@@ -0,0 +1,95 @@
+package org.magnoliaseam.gateway;
+
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalInt;
+import org.magnoliaseam.catalog.Account;
+import org.magnoliaseam.catalog.EngineCapacity;
+import org.magnoliaseam.catalog.RequestKind;
+import org.magnoliaseam.catalog.Route;
+import org.magnoliaseam.catalog.ServerEntry;
+import org.magnoliaseam.catalog.Service;
+import org.magnoliaseam.catalog.WeightedService;
+import org.magnoliaseam.model.BackendServerId;
+import org.magnoliaseam.model.ClientAccountId;
+import org.magnoliaseam.model.FailureDomain;
+import org.magnoliaseam.model.RequestId;
+import org.magnoliaseam.model.ServiceName;
+
+/** Builds requests and backend servers for tests of the gateway. */
+final class GatewayFixtures {
+
+    static final long MILLI = 1_000_000L;
+
+    static final FailureDomain HERE = new FailureDomain("domain-1");
+
+    static final ServiceName ENGINES = new ServiceName("engines");
+
+    static final ServiceName DESK = new ServiceName("desk");
+
+    private GatewayFixtures() {}
+
+    static Service service(ServiceName name, double coldPerSecond) {
+        boolean engine = name.equals(ENGINES);
+        return new Service(
+                name,
+                100,
+                coldPerSecond,
+                3000,
+                engine ? Optional.of(new EngineCapacity(64, 250_000)) : Optional.empty());
+    }
+
+    static Route route(RequestKind kind, int maxTries, boolean resumable, long pauseMillis) {
+        return new Route(
+                "route-" + kind + pauseMillis,
+                "host.example",
+                "/p/",
+                kind,
+                List.of(new WeightedService(kind.streamed() ? ENGINES : DESK, 1)),
+                maxTries,
+                5000,
+                500,
+                pauseMillis,
+                1,
+                false,
+                resumable);
+    }
+
+    static GatewayRequest request(String id, Route route, Prompt prompt) {
+        ServiceName name = route.services().get(0).service();
+        return new GatewayRequest(
+                new RequestId(id),
+                Optional.of(new Account(new ClientAccountId("account"), OptionalInt.of(1))),
+                route,
+                service(name, 0),
+                1,
+                "POST",
+                "/p/1",
+                List.of(),
+                new byte[0],
+                prompt,
+                "",
+                0,
+                5000 * MILLI);
+    }
+
+    static Prompt prompt(String shared, int sharedTokens, int ownTokens) {
+        return new Prompt(
+                List.of(new PromptPart(shared, sharedTokens), new PromptPart("own", ownTokens)),
+                sharedTokens + ownTokens,
+                50);
+    }
+
+    static ServerEntry server(String id, ServiceName service, boolean draining) {
+        return new ServerEntry(
+                new BackendServerId(id),
+                service,
+                InetSocketAddress.createUnresolved("127.0.0.1", 1),
+                HERE,
+                64,
+                draining,
+                0,
+                1);
+    }
+}
--- /dev/null
+++ b/router/src/test/java/org/magnoliaseam/platform/DecodersTest.java
@@ -0,0 +1,150 @@
+package org.magnoliaseam.platform;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.nio.charset.StandardCharsets;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.eclipse.jetty.http.HttpFields;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.magnoliaseam.catalog.Catalog;
+import org.magnoliaseam.catalog.RequestKind;
+import org.magnoliaseam.catalog.ServerEntry;
+import org.magnoliaseam.error.Result;
+import org.magnoliaseam.gateway.Prompt;
+import org.magnoliaseam.model.BackendServerId;
+
+/** Tests what is read from the wire, sound and spoilt. */
+class DecodersTest {
+
+    private static final String CONFIGURATION =
+            """
+            {"version":7,"routes":[{"name":"r1","host":"A.example","prefix":"/p/","kind":"stream",\
+            "timeout_ms":3000,"target_latency_ms":500,"priority":1,"service":"s1","max_attempts":2,\
+            "public":false,"stream_resumption":true,"gap_target_ms":300},{"name":"r2",\
+            "host":"a.example","prefix":"/p/q/","kind":"safe","timeout_ms":900,"traffic_split":\
+            [{"service":"s1","weight":90},{"service":"s2","weight":10}]}],"services":[{"name":"s1",\
+            "max_connections":360,"cold_start_s":3.0,"cold_per_s":13.0,"engine":{"slots":64,\
+            "kv_capacity_tokens":261949}},{"name":"s2","max_connections":100}],"limits":\
+            {"max_body_bytes":4194304,"idle_timeout_ms":15000},"tenants":[{"name":"t1",\
+            "api_keys":["k1","k2"],"priority":1}]}""";
+
+    private static final String SERVER =
+            """
+            {"service":"s1","address":"10.0.0.9:8080","zone":"z1","version":"v1","slots":64,\
+            "state":"ready","cold_remaining_ms":250,"born":17,"sequence":4}""";
+
+    private static Result<Catalog, String> catalog(String text) {
+        return CatalogDecoder.decode(text.getBytes(StandardCharsets.UTF_8));
+    }
+
+    private static Result<ServerEntry, String> server(String text) {
+        return ServerDecoder.decode(
+                new BackendServerId("i-1"), text.getBytes(StandardCharsets.UTF_8));
+    }
+
+    private static String spoilt(String text, int position, char value) {
+        int at = position % text.length();
+        return text.substring(0, at) + value + text.substring(at + 1);
+    }
+
+    /** Tests the configuration. */
+    @Nested
+    class Configuration {
+        private final Catalog mCatalog =
+                catalog(CONFIGURATION).fold(found -> found, reason -> null);
+
+        @Test
+        void longestPrefixOfTheHostWins() {
+            assertThat(mCatalog.route("a.example", "/p/x").get().name()).isEqualTo("r1");
+            assertThat(mCatalog.route("a.example", "/p/q/x").get().name()).isEqualTo("r2");
+            assertThat(mCatalog.route("a.example", "/p").isPresent()).isFalse();
+            assertThat(mCatalog.route("b.example", "/p/x").isPresent()).isFalse();
+        }
+
+        @Test
+        void kindDecidesWhatMayBeRepeated() {
+            assertThat(mCatalog.route("a.example", "/p/").get().idempotent()).isTrue();
+            assertThat(mCatalog.route("a.example", "/p/q/").get().kind())
+                    .isEqualTo(RequestKind.REPEATABLE);
+        }
+
+        @Test
+        void weightsShareARoute() {
+            var route = mCatalog.route("a.example", "/p/q/").get();
+            assertThat(route.service(0.5).value()).isEqualTo("s1");
+            assertThat(route.service(0.95).value()).isEqualTo("s2");
+        }
+
+        @Test
+        void faultNamesTheKey() {
+            String reason =
+                    catalog(CONFIGURATION.replace("\"timeout_ms\":3000", "\"timeout_ms\":\"x\""))
+                            .fold(found -> "", fault -> fault);
+            assertThat(reason).contains("timeout_ms");
+        }
+
+        @Property(seed = "20261204", tries = 1000)
+        void spoiltBytesAreTakenOrRefusedWithAReason(
+                @ForAll @IntRange(max = 2000) int position, @ForAll char value) {
+            String reason =
+                    catalog(spoilt(CONFIGURATION, position, value))
+                            .fold(found -> "taken", fault -> fault);
+            assertThat(reason).isNotEmpty();
+        }
+    }
+
+    /** Tests the entries of backend servers. */
+    @Nested
+    class Servers {
+        @Test
+        void entryIsRead() {
+            ServerEntry entry = server(SERVER).fold(found -> found, reason -> null);
+            assertThat(entry.coldMillis()).isEqualTo(250);
+            assertThat(entry.startMark()).isEqualTo(17);
+            assertThat(entry.address().getPort()).isEqualTo(8080);
+        }
+
+        @Test
+        void unknownStateIsRefused() {
+            String reason = server(SERVER.replace("ready", "odd")).fold(found -> "", why -> why);
+            assertThat(reason).contains("state");
+        }
+
+        @Property(seed = "20261204", tries = 1000)
+        void spoiltBytesAreTakenOrRefusedWithAReason(
+                @ForAll @IntRange(max = 300) int position, @ForAll char value) {
+            String reason =
+                    server(spoilt(SERVER, position, value)).fold(found -> "taken", why -> why);
+            assertThat(reason).isNotEmpty();
+        }
+    }
+
+    /** Tests the description of a prompt. */
+    @Nested
+    class Prompts {
+        private Prompt read(String counts, String parts) {
+            return PromptHeaders.read(
+                    HttpFields.build().put(WireNames.TOKENS, counts).put(WireNames.PROMPT, parts));
+        }
+
+        @Test
+        void lastPartBelongsToTheRequest() {
+            Prompt prompt = read("1460,80", "5c:800,91:410,e4:250");
+            assertThat(prompt.affinityKey()).isEqualTo("91");
+            assertThat(prompt.memoryTokens()).isEqualTo(1540);
+        }
+
+        @Property(seed = "20261204", tries = 500)
+        void anyTextIsRead(@ForAll String counts, @ForAll String parts) {
+            Prompt prompt = read(clean(counts), clean(parts));
+            assertThat(prompt.tokens()).isNotNegative();
+        }
+
+        private String clean(String text) {
+            return "x" + text.replaceAll("[^ -~]", "");
+        }
+    }
+}
