--- a/router/src/main/java/org/magnoliaseam/backend/ResetAwareEndPoint.java
+++ b/router/src/main/java/org/magnoliaseam/backend/ResetAwareEndPoint.java
@@ -39,7 +39,7 @@
      *
      * @return true after a failed read
      */
-    public boolean reset() {
+    public boolean wasReset() {
         return mReset;
     }
 
--- a/router/src/main/java/org/magnoliaseam/platform/ServerExchange.java
+++ b/router/src/main/java/org/magnoliaseam/platform/ServerExchange.java
@@ -165,7 +165,7 @@
     private boolean reset() {
         return mConnection instanceof AbstractConnection connection
                 && connection.getEndPoint() instanceof ResetAwareEndPoint endPoint
-                && endPoint.reset();
+                && endPoint.wasReset();
     }
 
     /**
