Tell other entry VMs which shared prompt parts engines keep, and count reading double

Ruled out: eviction (memory of 316,664 tokens turns over in about 18 s). Change: PartRead in digests, PromptMemory by tokens, READ_COST 2.

--- a/router/src/main/java/org/magnoliaseam/gateway/Choice.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/Choice.java
@@ -10,9 +10,11 @@
      *
      * @param server the backend server
      * @param unreadTokens the prompt tokens that it has to read
+     * @param alone whether nothing else waited to be read there
      * @param reason the inputs that decided, for the log
      */
-    record Start(ServerState server, long unreadTokens, String reason) implements Choice {}
+    record Start(ServerState server, long unreadTokens, boolean alone, String reason)
+            implements Choice {}
 
     /**
      * Keeps the request until a backend server has room.
--- a/router/src/main/java/org/magnoliaseam/gateway/GatewayTry.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/GatewayTry.java
@@ -236,7 +236,7 @@
         long now = mParts.clock().nanos();
         if (!mRead) {
             mRead = true;
-            double millis = (now - mProgressNanos) / NANOS_PER_MILLI;
+            double millis = mStart.alone() ? (now - mProgressNanos) / NANOS_PER_MILLI : 0;
             mParts.board().read(server(), mStart.unreadTokens(), millis);
         } else {
             mCall.paused(now - mProgressNanos);
--- a/router/src/main/java/org/magnoliaseam/gateway/Placement.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/Placement.java
@@ -23,6 +23,9 @@
     /** The share of the target for the first event up to which a prompt stays where it is kept. */
     private static final double STAY_SHARE = 0.5;
 
+    /** The cost of reading a token; above 1, since reading also delays the requests behind. */
+    private static final double READ_COST = 2.0;
+
     /** The cost of a certain failure, as a multiple of the target. */
     private static final double FAILURE_COST = 2.0;
 
@@ -204,6 +207,9 @@
         double slots = Math.max(1, state.entry().slots());
         double fullness = state.occupied(mForeign, nowNanos) / slots;
         double failures = FAILURE_COST * state.failures().rate() * target;
-        return state.readMillis(request.prompt(), mForeign) + fullness * target + failures;
+        long unread = state.unreadTokens(request.prompt());
+        double wait = state.readMillis(state.waitingTokens(mForeign));
+        double read = READ_COST * state.readMillis(unread);
+        return wait + read + fullness * target + failures;
     }
 }
--- a/router/src/main/java/org/magnoliaseam/gateway/ServerBoard.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/ServerBoard.java
@@ -19,6 +19,7 @@
 import org.magnoliaseam.gossip.Demand;
 import org.magnoliaseam.gossip.Digest;
 import org.magnoliaseam.gossip.GossipListener;
+import org.magnoliaseam.gossip.PartRead;
 import org.magnoliaseam.gossip.PeerEndpoint;
 import org.magnoliaseam.gossip.ServerLoad;
 import org.magnoliaseam.model.BackendServerId;
@@ -51,6 +52,9 @@
     /** What the other entry VMs have running. */
     private final ForeignLoads mForeign = new ForeignLoads();
 
+    /** The prompt parts to tell the other entry VMs of. */
+    private final RecentReads mReads = new RecentReads();
+
     /** The retries allowed as a fraction of first tries. */
     private final DoubleSupplier mRetryRatio;
 
@@ -154,9 +158,20 @@
         return mPlacement.demands(mClock.nanos());
     }
 
+    @Override
+    public synchronized List<PartRead> reads() {
+        return mReads.next();
+    }
+
     @Override
     public synchronized void heard(PeerEndpoint peer, Digest digest) {
         mForeign.heard(peer, digest, mClock.nanos());
+        for (PartRead read : digest.reads()) {
+            ServerState state = mServers.get(read.server());
+            if (state != null) {
+                state.foreignRead(read.part(), read.tokens());
+            }
+        }
     }
 
     @Override
@@ -197,8 +212,10 @@
         }
         ServerState chosen = mPlacement.choose(request, present, candidates, now);
         String reason = mPlacement.describe(request, chosen, candidates.size(), now);
+        boolean alone = chosen.waitingTokens(mForeign) == 0;
         long tokens = chosen.start(request, mVms, now);
-        return new Choice.Start(chosen, tokens, reason);
+        mReads.sent(chosen.id(), request.prompt());
+        return new Choice.Start(chosen, tokens, alone, reason);
     }
 
     /**
--- a/router/src/main/java/org/magnoliaseam/gateway/ServerState.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/ServerState.java
@@ -1,7 +1,6 @@
 package org.magnoliaseam.gateway;
 
-import java.util.LinkedHashMap;
-import java.util.Map;
+import org.magnoliaseam.catalog.EngineCapacity;
 import org.magnoliaseam.catalog.ServerEntry;
 import org.magnoliaseam.catalog.Service;
 import org.magnoliaseam.model.BackendServerId;
@@ -9,23 +8,23 @@
 /** Holds what this entry VM knows about one backend server. Guarded by the server board. */
 final class ServerState {
 
-    /** The prompt parts remembered for one backend server. */
-    private static final int MAX_PARTS = 2048;
-
     /** The age up to which a stated load counts, in nanoseconds. */
     private static final long LOAD_VALID_NANOS = 1_000_000_000L;
 
     /** The prompt tokens that an engine reads in a millisecond until measured. */
     private static final double INITIAL_TOKENS_PER_MILLI = 40;
 
+    /** The memory of an engine in tokens until a request has named it. */
+    private static final long INITIAL_MEMORY_TOKENS = 100_000;
+
     /** The weight of the latest measurement of the reading speed. */
     private static final double SPEED_WEIGHT = 0.1;
 
     /** The smallest number of tokens that tells the reading speed. */
     private static final int SPEED_TOKENS = 1000;
 
-    /** The prompt parts that the backend server has read, least recently used first. */
-    private final Map<String, Long> mParts = new LinkedHashMap<>(64, 0.75f, true);
+    /** The prompt parts that the backend server keeps. */
+    private final PromptMemory mParts = new PromptMemory();
 
     /** How the tries ended. */
     private final FailureHistory mFailures = new FailureHistory();
@@ -42,6 +41,9 @@
     /** The prompt tokens that this entry VM waits for to be read there. */
     private long mPendingTokens;
 
+    /** The memory of the engine in tokens, once a request has named it. */
+    private long mMemoryTokens = INITIAL_MEMORY_TOKENS;
+
     /** The local monotonic time at which the cold start ends. */
     private long mColdUntilNanos;
 
@@ -160,11 +162,9 @@
         long tokens = unreadTokens(request.prompt());
         mRunning++;
         mPendingTokens += tokens;
+        mMemoryTokens = request.service().engine().map(EngineCapacity::memoryTokens).orElse(0L);
         for (PromptPart part : request.prompt().parts()) {
-            mParts.put(part.id(), nowNanos);
-        }
-        while (mParts.size() > MAX_PARTS) {
-            mParts.remove(mParts.keySet().iterator().next());
+            mParts.use(part.id(), part.tokens(), mMemoryTokens);
         }
         return tokens;
     }
@@ -183,15 +183,20 @@
         mRunning--;
     }
 
-    /** Forgets the prompt parts, since the backend server has lost its memory. */
-    void forgetParts() {
-        mParts.clear();
+    /**
+     * Notes a prompt part that another entry VM sent.
+     *
+     * @param part the part
+     * @param tokens its length in tokens
+     */
+    void foreignRead(String part, int tokens) {
+        mParts.use(part, tokens, mMemoryTokens);
     }
 
     /**
      * Takes a measured time to the first event.
      *
-     * @param tokens the tokens that were read for it
+     * @param tokens the tokens that were read for it while nothing else waited
      * @param millis the time in milliseconds
      */
     void measured(long tokens, double millis) {
@@ -219,14 +224,7 @@
      * @return the tokens from the first part on that it does not keep
      */
     long unreadTokens(Prompt prompt) {
-        long kept = 0;
-        for (PromptPart part : prompt.parts()) {
-            if (!mParts.containsKey(part.id())) {
-                break;
-            }
-            kept += part.tokens();
-        }
-        return Math.max(0, prompt.tokens() - kept);
+        return mParts.unread(prompt);
     }
 
     /**
@@ -261,14 +259,22 @@
     }
 
     /**
-     * Predicts the time that reading takes before a request's first event.
+     * Returns the prompt tokens that all entry VMs wait for.
      *
-     * @param prompt the prompt of the request
      * @param foreign what the other entry VMs have running
+     * @return the tokens
+     */
+    long waitingTokens(ForeignLoads foreign) {
+        return mPendingTokens + foreign.pendingTokens(id());
+    }
+
+    /**
+     * Predicts how long the backend server reads a number of prompt tokens.
+     *
+     * @param tokens the tokens
      * @return the time in milliseconds
      */
-    double readMillis(Prompt prompt, ForeignLoads foreign) {
-        long waiting = mPendingTokens + foreign.pendingTokens(id());
-        return (waiting + unreadTokens(prompt)) / mTokensPerMilli;
+    double readMillis(long tokens) {
+        return tokens / mTokensPerMilli;
     }
 }
--- a/router/src/main/java/org/magnoliaseam/gossip/Digest.java
+++ b/router/src/main/java/org/magnoliaseam/gossip/Digest.java
@@ -10,10 +10,12 @@
  * @param peers some entry VMs that the sender hears
  * @param loads what it has running at backend servers
  * @param demands the work that it got lately
+ * @param reads the prompt parts that it sent to backend servers lately
  */
 public record Digest(
         long incarnation,
         long sequence,
         List<PeerEndpoint> peers,
         List<ServerLoad> loads,
-        List<Demand> demands) {}
+        List<Demand> demands,
+        List<PartRead> reads) {}
--- a/router/src/main/java/org/magnoliaseam/gossip/DigestCodec.java
+++ b/router/src/main/java/org/magnoliaseam/gossip/DigestCodec.java
@@ -51,6 +51,12 @@
                 packer.packLong(demand.pauseMillis());
                 packer.packDouble(demand.work());
             }
+            packer.packArrayHeader(digest.reads().size());
+            for (PartRead read : digest.reads()) {
+                packer.packString(read.server().value());
+                packer.packString(read.part());
+                packer.packInt(read.tokens());
+            }
             return packer.toByteArray();
         }
     }
@@ -70,38 +76,102 @@
             }
             long incarnation = unpacker.unpackLong();
             long sequence = unpacker.unpackLong();
-            List<PeerEndpoint> peers = new ArrayList<>();
-            for (int left = count(unpacker); left > 0; left--) {
-                peers.add(new PeerEndpoint(unpacker.unpackString(), unpacker.unpackInt()));
-            }
-            List<ServerLoad> loads = new ArrayList<>();
-            for (int left = count(unpacker); left > 0; left--) {
-                BackendServerId server = new BackendServerId(unpacker.unpackString());
-                loads.add(new ServerLoad(server, unpacker.unpackInt(), unpacker.unpackLong()));
-            }
-            List<Demand> demands = new ArrayList<>();
-            for (int left = count(unpacker); left > 0; left--) {
-                ServiceName service = new ServiceName(unpacker.unpackString());
-                demands.add(new Demand(service, unpacker.unpackLong(), unpacker.unpackDouble()));
-            }
-            return new Digest(incarnation, sequence, peers, loads, demands);
+            return new Digest(
+                    incarnation,
+                    sequence,
+                    list(unpacker, DigestCodec::peer),
+                    list(unpacker, DigestCodec::load),
+                    list(unpacker, DigestCodec::demand),
+                    list(unpacker, DigestCodec::read));
         } catch (MessagePackException | IllegalArgumentException e) {
             throw new IOException("malformed digest", e);
         }
     }
 
     /**
-     * Reads the length of a list.
+     * Reads one element of a list.
+     *
+     * @param <T> the type of the element
+     */
+    @FunctionalInterface
+    private interface ElementReader<T> {
+
+        /**
+         * Reads an element.
+         *
+         * @param unpacker the digest
+         * @return the element
+         * @throws IOException if it is malformed
+         */
+        T read(MessageUnpacker unpacker) throws IOException;
+    }
+
+    /**
+     * Reads a list.
      *
      * @param unpacker the digest
-     * @return the number of elements
-     * @throws IOException if it is too large
+     * @param reader reads an element
+     * @param <T> the type of the elements
+     * @return the elements
+     * @throws IOException if the list is too long or malformed
      */
-    private static int count(MessageUnpacker unpacker) throws IOException {
+    private static <T> List<T> list(MessageUnpacker unpacker, ElementReader<T> reader)
+            throws IOException {
         int count = unpacker.unpackArrayHeader();
         if (count > MAX_ELEMENTS) {
             throw new IOException("too many elements");
         }
-        return count;
+        List<T> elements = new ArrayList<>(count);
+        for (int i = 0; i < count; i++) {
+            elements.add(reader.read(unpacker));
+        }
+        return elements;
+    }
+
+    /**
+     * Reads the address of a peer.
+     *
+     * @param unpacker the digest
+     * @return the address
+     * @throws IOException if it is malformed
+     */
+    private static PeerEndpoint peer(MessageUnpacker unpacker) throws IOException {
+        return new PeerEndpoint(unpacker.unpackString(), unpacker.unpackInt());
+    }
+
+    /**
+     * Reads the load of a backend server.
+     *
+     * @param unpacker the digest
+     * @return the load
+     * @throws IOException if it is malformed
+     */
+    private static ServerLoad load(MessageUnpacker unpacker) throws IOException {
+        BackendServerId server = new BackendServerId(unpacker.unpackString());
+        return new ServerLoad(server, unpacker.unpackInt(), unpacker.unpackLong());
+    }
+
+    /**
+     * Reads the work of a kind of request.
+     *
+     * @param unpacker the digest
+     * @return the work
+     * @throws IOException if it is malformed
+     */
+    private static Demand demand(MessageUnpacker unpacker) throws IOException {
+        ServiceName service = new ServiceName(unpacker.unpackString());
+        return new Demand(service, unpacker.unpackLong(), unpacker.unpackDouble());
+    }
+
+    /**
+     * Reads a prompt part that was read.
+     *
+     * @param unpacker the digest
+     * @return the part
+     * @throws IOException if it is malformed
+     */
+    private static PartRead read(MessageUnpacker unpacker) throws IOException {
+        BackendServerId server = new BackendServerId(unpacker.unpackString());
+        return new PartRead(server, unpacker.unpackString(), unpacker.unpackInt());
     }
 }
--- a/router/src/main/java/org/magnoliaseam/gossip/GossipListener.java
+++ b/router/src/main/java/org/magnoliaseam/gossip/GossipListener.java
@@ -19,6 +19,13 @@
      */
     List<Demand> demands();
 
+    /**
+     * Returns the prompt parts that this entry VM sent to backend servers lately.
+     *
+     * @return the parts; each is told several times, since digests get lost
+     */
+    List<PartRead> reads();
+
     /**
      * Takes what a peer tells.
      *
--- a/router/src/main/java/org/magnoliaseam/gossip/GossipNode.java
+++ b/router/src/main/java/org/magnoliaseam/gossip/GossipNode.java
@@ -121,7 +121,8 @@
                             ++mSequence,
                             named,
                             mListener.loads(),
-                            mListener.demands());
+                            mListener.demands(),
+                            mListener.reads());
             byte[] bytes = DigestCodec.encode(digest);
             Collection<PeerEndpoint> targets =
                     new ArrayList<>(live.subList(0, Math.min(FAN_OUT, live.size())));
--- a/router/src/test/java/org/magnoliaseam/gateway/PlacementTest.java
+++ b/router/src/test/java/org/magnoliaseam/gateway/PlacementTest.java
@@ -69,7 +69,7 @@
             mPlacement.arrived(request, 0);
             ServerState home = choose(mPlacement, request);
             ServerLoad load = new ServerLoad(home.id(), 40, 100_000);
-            Digest digest = new Digest(1, 1, List.of(), List.of(load), List.of());
+            Digest digest = new Digest(1, 1, List.of(), List.of(load), List.of(), List.of());
             mForeign.heard(new PeerEndpoint("127.0.0.1", 1), digest, 0);
             assertThat(choose(mPlacement, request)).isNotSameAs(home);
             mForeign.expire(1000 * MILLI);
--- a/router/src/test/java/org/magnoliaseam/gossip/GossipTest.java
+++ b/router/src/test/java/org/magnoliaseam/gossip/GossipTest.java
@@ -31,7 +31,8 @@
                 8,
                 List.of(SEED),
                 List.of(new ServerLoad(new BackendServerId("s"), 3, 4000)),
-                List.of(new Demand(new ServiceName("x"), 200, 1.5)));
+                List.of(new Demand(new ServiceName("x"), 200, 1.5)),
+                List.of(new PartRead(new BackendServerId("s"), "p", 9)));
     }
 
     @Test
