Serve from lapsed entries until their time to return is over, and publish metrics

Cause: entries that lapse while the store is away were dropped at its return, though living backend servers are back within two seconds. Change: ServerBoard keeps them for 2.2 s; a port for operators with /metrics. Unit tests of the router green.

--- a/router/src/main/java/org/magnoliaseam/gateway/RequestLog.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/RequestLog.java
@@ -1,12 +1,14 @@
 package org.magnoliaseam.gateway;
 
+import com.codahale.metrics.MetricRegistry;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.concurrent.TimeUnit;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 
-/** Writes the account of each request as one JSON line. Thread-safe. */
+/** Writes the account of each request as one JSON line and counts it. Thread-safe. */
 public final class RequestLog {
 
     /** Takes the lines. */
@@ -18,6 +20,18 @@
     /** The nanoseconds of a millisecond. */
     private static final double NANOS_PER_MILLI = 1e6;
 
+    /** Counts outcomes and times. */
+    private final MetricRegistry mMetrics;
+
+    /**
+     * Creates a log.
+     *
+     * @param metrics counts outcomes and times
+     */
+    public RequestLog(MetricRegistry metrics) {
+        mMetrics = metrics;
+    }
+
     /**
      * Writes the account of a request that has ended.
      *
@@ -26,6 +40,7 @@
      * @param nowNanos the local monotonic time
      */
     void ended(RequestRecord record, String outcome, long nowNanos) {
+        count(record, outcome, nowNanos);
         GatewayRequest request = record.request();
         ObjectNode line = MAPPER.createObjectNode();
         line.put("event", "request");
@@ -51,6 +66,26 @@
         LOG.info(line);
     }
 
+    /**
+     * Counts a request that has ended.
+     *
+     * @param record the account
+     * @param outcome how the request ended
+     * @param nowNanos the local monotonic time
+     */
+    private void count(RequestRecord record, String outcome, long nowNanos) {
+        long arrived = record.request().arrivedNanos();
+        mMetrics.counter("gateway.requests." + outcome).inc();
+        mMetrics.timer("gateway.answer").update(nowNanos - arrived, TimeUnit.NANOSECONDS);
+        for (RequestRecord.Step step : record.steps()) {
+            mMetrics.counter("gateway.steps." + step.kind()).inc();
+            if ("first_event".equals(step.kind())) {
+                long nanos = step.nanos() - arrived;
+                mMetrics.timer("gateway.first_event").update(nanos, TimeUnit.NANOSECONDS);
+            }
+        }
+    }
+
     /**
      * Returns the time since a request arrived.
      *
--- a/router/src/main/java/org/magnoliaseam/gateway/ServerBoard.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/ServerBoard.java
@@ -34,6 +34,9 @@
     /** The entry VMs that may share a limit while their number is unknown. */
     private static final int ASSUMED_VMS = 8;
 
+    /** The time in which lapsed entries come back after an outage of the publisher. */
+    private static final long RETURN_NANOS = 2_200_000_000L;
+
     /** Writes changes of what the process believes. */
     private static final Logger LOG = LogManager.getLogger("board");
 
@@ -61,6 +64,12 @@
     /** The clock. */
     private final MonotonicClock mClock;
 
+    /** The backend servers whose entries lapsed during an outage of the publisher. */
+    private final Set<BackendServerId> mLapsed = new HashSet<>();
+
+    /** The local monotonic time up to which lapsed entries may come back. */
+    private long mReturnNanos;
+
     /** The entry VMs that may live, which share each limit. */
     private int mVms = ASSUMED_VMS;
 
@@ -75,6 +84,7 @@
         mPlacement = new Placement(ownDomain, mForeign);
         mRetryRatio = retryRatio;
         mClock = clock;
+        mReturnNanos = clock.nanos();
     }
 
     /**
@@ -83,6 +93,7 @@
      * @param entry the entry
      */
     public synchronized void published(ServerEntry entry) {
+        mLapsed.remove(entry.id());
         ServerState known = mServers.get(entry.id());
         if (known == null) {
             mServers.put(entry.id(), new ServerState(entry, mClock.nanos()));
@@ -99,16 +110,38 @@
     }
 
     /**
-     * Forgets a backend server that is no longer published.
+     * Notes that the publisher answers again after an outage. Entries that lapsed meanwhile come
+     * back shortly if their backend servers live.
+     */
+    public synchronized void publisherReturned() {
+        mReturnNanos = mClock.nanos() + RETURN_NANOS;
+    }
+
+    /**
+     * Forgets a backend server that is no longer published; shortly after an outage of the
+     * publisher only if it stays away.
      *
      * @param id the backend server
      */
     public synchronized void withdrawn(BackendServerId id) {
-        if (mServers.remove(id) != null) {
+        ServerState state = mServers.get(id);
+        boolean mayReturn = mClock.nanos() - mReturnNanos < 0;
+        if (state != null && mayReturn && !state.entry().draining()) {
+            mLapsed.add(id);
+        } else if (mServers.remove(id) != null) {
             LOG.info("board: backend server gone, id={}", id);
         }
     }
 
+    /** Forgets the backend servers that have not come back after an outage of the publisher. */
+    private void endReturn() {
+        if (!mLapsed.isEmpty() && mClock.nanos() - mReturnNanos >= 0) {
+            List<BackendServerId> lapsed = List.copyOf(mLapsed);
+            mLapsed.clear();
+            lapsed.forEach(this::withdrawn);
+        }
+    }
+
     /**
      * Forgets all backend servers that a full list lacks.
      *
@@ -177,6 +210,7 @@
     @Override
     public synchronized void vms(int vms) {
         mForeign.expire(mClock.nanos());
+        endReturn();
         if (vms != mVms) {
             LOG.info("board: entry VMs that share the limits, before={} now={}", mVms, vms);
             mVms = vms;
--- a/router/src/main/java/org/magnoliaseam/platform/PlatformFeed.java
+++ b/router/src/main/java/org/magnoliaseam/platform/PlatformFeed.java
@@ -124,6 +124,11 @@
                 mBoard.outOfService(mOut);
             }
 
+            @Override
+            public void regained() {
+                // A configuration does not lapse while the store is away.
+            }
+
             @Override
             public void confirmed() {
                 mPublication.confirmed();
@@ -154,6 +159,11 @@
                 changes.forEach(PlatformFeed.this::server);
             }
 
+            @Override
+            public void regained() {
+                mBoard.publisherReturned();
+            }
+
             @Override
             public void confirmed() {
                 // The age of the list of backend servers decides nothing.
--- a/router/src/main/java/org/magnoliaseam/platform/StoreListener.java
+++ b/router/src/main/java/org/magnoliaseam/platform/StoreListener.java
@@ -19,6 +19,9 @@
      */
     void changed(List<StoreItem> changes);
 
+    /** Notes that the store answers again after failed calls. */
+    void regained();
+
     /** Notes that everything up to now is known. */
     void confirmed();
 }
--- a/router/src/main/java/org/magnoliaseam/platform/StoreWatch.java
+++ b/router/src/main/java/org/magnoliaseam/platform/StoreWatch.java
@@ -67,7 +67,6 @@
         while (!mStopped) {
             try {
                 step();
-                regained();
             } catch (StoreException e) {
                 lost(e);
             } catch (InterruptedException e) {
@@ -92,6 +91,7 @@
             return;
         }
         StorePage page = mClient.watch(mPrefix, mRevision, WAIT_MILLIS);
+        regained();
         if (!page.items().isEmpty()) {
             mListener.changed(page.items());
         }
@@ -113,6 +113,7 @@
             page = mClient.range(mPrefix, items.get(items.size() - 1).key());
             items.addAll(page.items());
         }
+        regained();
         mListener.snapshot(items);
         mListener.confirmed();
         mRevision = revision;
@@ -123,6 +124,7 @@
         if (mFailures > 0) {
             LOG.info("store: contact regained, prefix={} failures={}", mPrefix, mFailures);
             mFailures = 0;
+            mListener.regained();
         }
     }
 
--- a/router/src/main/java/org/magnoliaseam/route/GatewayFactory.java
+++ b/router/src/main/java/org/magnoliaseam/route/GatewayFactory.java
@@ -1,5 +1,8 @@
 package org.magnoliaseam.route;
 
+import com.codahale.metrics.MetricRegistry;
+import java.net.InetSocketAddress;
+import java.util.Map;
 import java.util.concurrent.Executors;
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.http.HttpCookieStore;
@@ -10,6 +13,7 @@
 import org.eclipse.jetty.server.Server;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
 import org.magnoliaseam.caller.ObservedConnectionFactory;
+import org.magnoliaseam.catalog.Catalog;
 import org.magnoliaseam.gateway.Gateway;
 import org.magnoliaseam.gateway.GatewayParts;
 import org.magnoliaseam.gateway.Publication;
@@ -17,6 +21,8 @@
 import org.magnoliaseam.gateway.ServerBoard;
 import org.magnoliaseam.gateway.StopState;
 import org.magnoliaseam.gossip.GossipNode;
+import org.magnoliaseam.operator.MetricsPage;
+import org.magnoliaseam.operator.OperatorHandler;
 import org.magnoliaseam.platform.CallerProtocol;
 import org.magnoliaseam.platform.PlatformFeed;
 import org.magnoliaseam.platform.ServerProtocol;
@@ -84,14 +90,24 @@
                         mSettings.failureDomain(), () -> mReload.get().retryRatio(), mClock);
         HttpClient client = client();
         ServerProtocol port = new ServerProtocol(client, mClock);
-        Gateway gateway = new Gateway(new GatewayParts(board, port, new RequestLog(), mClock));
+        MetricRegistry metrics = new MetricRegistry();
+        RequestLog log = new RequestLog(metrics);
+        Gateway gateway = new Gateway(new GatewayParts(board, port, log, mClock));
+        gauges(metrics, publication, board, gateway);
         PlatformFeed feed = new PlatformFeed(mSettings, client, publication, board);
         CallerProtocol callers = new CallerProtocol(publication, gateway, mShutdown, mClock);
         ReadinessHandler readiness =
                 new ReadinessHandler(() -> feed.complete() && !mShutdown.leaving());
         return new GatewayProcess(
                 mReload,
-                server(callers, readiness),
+                server(
+                        Map.of(
+                                PortHandler.CALLERS,
+                                callers,
+                                PortHandler.READINESS,
+                                readiness,
+                                PortHandler.OPERATORS,
+                                new OperatorHandler(Map.of("metrics", new MetricsPage(metrics))))),
                 client,
                 feed,
                 new GossipNode(mSettings.peersAddress(), mSettings.seeds(), board, mClock),
@@ -117,25 +133,53 @@
         return client;
     }
 
+    /**
+     * Registers what the process believes.
+     *
+     * @param metrics takes the gauges
+     * @param publication the catalog in force
+     * @param board the backend servers
+     * @param gateway the requests in progress
+     */
+    private static void gauges(
+            MetricRegistry metrics, Publication publication, ServerBoard board, Gateway gateway) {
+        metrics.registerGauge(
+                "gateway.catalog_version",
+                () -> publication.catalog().map(Catalog::version).orElse(0L));
+        metrics.registerGauge("gateway.catalog_fresh", () -> publication.fresh() ? 1 : 0);
+        metrics.registerGauge("gateway.backend_servers", board::size);
+        metrics.registerGauge("gateway.active", gateway::active);
+    }
+
     /**
      * Creates the ports.
      *
-     * @param callers serves callers
-     * @param readiness answers the balancer
+     * @param handlers the handlers by the name of their port
      * @return the server, not yet started
      */
-    private Server server(Handler callers, Handler readiness) {
+    private Server server(Map<String, Handler> handlers) {
         Server server = new Server(mThreads);
-        server.addConnector(
-                HttpFactory.connector(
-                        server, PortHandler.CALLERS, mSettings.callersAddress(), mConnections));
-        server.addConnector(
-                HttpFactory.connector(
-                        server,
-                        PortHandler.READINESS,
-                        mSettings.readinessAddress(),
-                        new HttpConnectionFactory(HttpFactory.limits())));
-        server.setHandler(new PortHandler(callers, readiness));
+        HttpConnectionFactory plain = new HttpConnectionFactory(HttpFactory.limits());
+        add(server, PortHandler.CALLERS, mSettings.callersAddress(), mConnections);
+        add(server, PortHandler.READINESS, mSettings.readinessAddress(), plain);
+        add(server, PortHandler.OPERATORS, mSettings.operatorsAddress(), plain);
+        server.setHandler(new PortHandler(handlers));
         return server;
     }
+
+    /**
+     * Adds a port.
+     *
+     * @param server the server
+     * @param name the name of the port
+     * @param address the address to listen on
+     * @param connections creates connections
+     */
+    private static void add(
+            Server server,
+            String name,
+            InetSocketAddress address,
+            HttpConnectionFactory connections) {
+        server.addConnector(HttpFactory.connector(server, name, address, connections));
+    }
 }
--- a/router/src/main/java/org/magnoliaseam/route/PortHandler.java
+++ b/router/src/main/java/org/magnoliaseam/route/PortHandler.java
@@ -1,5 +1,6 @@
 package org.magnoliaseam.route;
 
+import java.util.Map;
 import org.eclipse.jetty.server.Handler;
 import org.eclipse.jetty.server.Request;
 import org.eclipse.jetty.server.Response;
@@ -14,27 +15,24 @@
     /** The name of the port for readiness. */
     static final String READINESS = "readiness";
 
-    /** Serves callers. */
-    private final Handler mCallers;
+    /** The name of the operators' port. */
+    static final String OPERATORS = "operators";
 
-    /** Answers the balancer. */
-    private final Handler mReadiness;
+    /** The handlers by the name of their port. */
+    private final Map<String, Handler> mHandlers;
 
     /**
      * Creates a handler.
      *
-     * @param callers serves callers
-     * @param readiness answers the balancer
+     * @param handlers the handlers by the name of their port
      */
-    PortHandler(Handler callers, Handler readiness) {
-        mCallers = callers;
-        mReadiness = readiness;
+    PortHandler(Map<String, Handler> handlers) {
+        mHandlers = Map.copyOf(handlers);
     }
 
     @Override
     public boolean handle(Request request, Response response, Callback callback) throws Exception {
         String port = request.getConnectionMetaData().getConnector().getName();
-        Handler handler = READINESS.equals(port) ? mReadiness : mCallers;
-        return handler.handle(request, response, callback);
+        return mHandlers.get(port).handle(request, response, callback);
     }
 }
--- a/router/src/test/java/org/magnoliaseam/cli/OperatorsPortTest.java
+++ b/router/src/test/java/org/magnoliaseam/cli/OperatorsPortTest.java
@@ -114,7 +114,8 @@
     }
 
     private int run(String... args) {
-        CommandTable table = new CommandTable(settings -> 0, new TextDecisionRenderer());
+        CommandTable table =
+                new CommandTable(settings -> 0, (settings, file) -> 0, new TextDecisionRenderer());
         return new Program(table, mConsole.console(), "1.2.3").run(args);
     }
 
--- a/router/src/test/java/org/magnoliaseam/gateway/GatewayCallTest.java
+++ b/router/src/test/java/org/magnoliaseam/gateway/GatewayCallTest.java
@@ -9,6 +9,7 @@
 import static org.magnoliaseam.gateway.GatewayFixtures.route;
 import static org.magnoliaseam.gateway.GatewayFixtures.server;
 
+import com.codahale.metrics.MetricRegistry;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
@@ -40,7 +41,9 @@
     private final ServerBoard mBoard = new ServerBoard(HERE, () -> 1.0, mNow::get);
 
     private final Gateway mGateway =
-            new Gateway(new GatewayParts(mBoard, mPort, new RequestLog(), mNow::get));
+            new Gateway(
+                    new GatewayParts(
+                            mBoard, mPort, new RequestLog(new MetricRegistry()), mNow::get));
 
     /** Keeps the tries that were started. */
     private static final class RecordingPort implements TryPort {
--- a/router/src/test/java/org/magnoliaseam/gateway/PlacementTest.java
+++ b/router/src/test/java/org/magnoliaseam/gateway/PlacementTest.java
@@ -14,6 +14,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.concurrent.atomic.AtomicLong;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.magnoliaseam.backend.BackendFailure;
@@ -122,6 +123,44 @@
         }
     }
 
+    /** Tests entries that lapse while the publisher is away. */
+    @Nested
+    class Outage {
+        private final AtomicLong mNow = new AtomicLong(1);
+
+        private final ServerBoard mBoard = new ServerBoard(HERE, () -> 1.0, mNow::get);
+
+        @Test
+        void lapsedEntryServesUntilItsTimeToReturnIsOver() {
+            mBoard.published(server("desk", DESK, false));
+            mBoard.publisherReturned();
+            mBoard.withdrawn(new BackendServerId("desk"));
+            assertThat(mBoard.size()).isEqualTo(1);
+            mNow.set(3000 * MILLI);
+            mBoard.vms(4);
+            assertThat(mBoard.size()).isZero();
+        }
+
+        @Test
+        void entryThatComesBackStays() {
+            mBoard.published(server("desk", DESK, false));
+            mBoard.publisherReturned();
+            mBoard.withdrawn(new BackendServerId("desk"));
+            mBoard.published(server("desk", DESK, false));
+            mNow.set(3000 * MILLI);
+            mBoard.vms(4);
+            assertThat(mBoard.size()).isEqualTo(1);
+        }
+
+        @Test
+        void drainingServerIsGoneAtOnce() {
+            mBoard.published(server("desk", DESK, true));
+            mBoard.publisherReturned();
+            mBoard.withdrawn(new BackendServerId("desk"));
+            assertThat(mBoard.size()).isZero();
+        }
+    }
+
     /** Tests servers that fail or are in cold start. */
     @Nested
     class Failures {
