--- a/router/src/main/java/org/magnoliaseam/gateway/GatewayCall.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/GatewayCall.java
@@ -129,7 +129,7 @@
         } else if (mTry == null) {
             place();
         } else if (mTry.silent(now) && mRequest.route().idempotent() && mayTryAgain()) {
-            mRecord.add("silent", mTry.server().id().value(), "", now);
+            mRecord.add(StepKind.SILENT, mTry.server().id().value(), "", now);
             mTry.giveUp();
         }
     }
@@ -140,7 +140,7 @@
             return;
         }
         GatewayTry running = mTry;
-        mRecord.add("caller_gone", "", "", mParts.clock().nanos());
+        mRecord.add(StepKind.CALLER_GONE, "", "", mParts.clock().nanos());
         end("caller_gone");
         if (running != null) {
             running.giveUp();
@@ -170,7 +170,7 @@
         }
         boolean serverError = head.status() >= 500;
         mRuns++;
-        mRecord.add("answered", from.server().id().value(), "status=" + head.status(), now());
+        mRecord.add(StepKind.ANSWERED, from.server().id().value(), "status=" + head.status(), now());
         if (serverError && mRequest.route().idempotent() && mayTryAgain() && retry()) {
             mMet.add(from.server().id());
             mTry = null;
@@ -199,7 +199,7 @@
         }
         if (!mOpened) {
             mOpened = true;
-            mRecord.add("first_event", from.server().id().value(), "", now());
+            mRecord.add(StepKind.FIRST_EVENT, from.server().id().value(), "", now());
             mSink.head(head);
         }
         mLastEventId = lastId.isEmpty() ? mLastEventId : lastId;
@@ -243,7 +243,7 @@
             return;
         }
         mTry = null;
-        mRecord.add(failure.name().toLowerCase(), failed.server().id().value(), detail, now());
+        mRecord.add(StepKind.valueOf(failure.name()), failed.server().id().value(), detail, now());
         if (failure != BackendFailure.HELD_BACK) {
             mMet.add(failed.server().id());
         }
@@ -265,7 +265,7 @@
         Choice choice = mParts.board().choose(mRequest, mMet);
         if (choice instanceof Choice.Start start) {
             mSends++;
-            mRecord.add("sent", start.server().id().value(), start.reason(), now());
+            mRecord.add(StepKind.SENT, start.server().id().value(), start.reason(), now());
             mTry = new GatewayTry(this, start, mParts, tryOrder(start));
             mTry.start();
             return;
@@ -305,7 +305,7 @@
     private boolean retry() {
         boolean allowed = mParts.board().tryRetry(mRequest);
         if (!allowed) {
-            mRecord.add("budget_used_up", "", "", now());
+            mRecord.add(StepKind.BUDGET_USED_UP, "", "", now());
         }
         return allowed;
     }
--- a/router/src/main/java/org/magnoliaseam/gateway/RequestLog.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/RequestLog.java
@@ -59,7 +59,7 @@
         for (RequestRecord.Step step : record.steps()) {
             ObjectNode node = steps.addObject();
             node.put("ms", millis(step.nanos(), request));
-            node.put("step", step.kind());
+            node.put("step", step.kind().text());
             node.put("server", step.server());
             node.put("detail", step.detail());
         }
@@ -78,8 +78,8 @@
         mMetrics.counter("gateway.requests." + outcome).inc();
         mMetrics.timer("gateway.answer").update(nowNanos - arrived, TimeUnit.NANOSECONDS);
         for (RequestRecord.Step step : record.steps()) {
-            mMetrics.counter("gateway.steps." + step.kind()).inc();
-            if ("first_event".equals(step.kind())) {
+            mMetrics.counter("gateway.steps." + step.kind().text()).inc();
+            if (step.kind() == StepKind.FIRST_EVENT) {
                 long nanos = step.nanos() - arrived;
                 mMetrics.timer("gateway.first_event").update(nanos, TimeUnit.NANOSECONDS);
             }
--- a/router/src/main/java/org/magnoliaseam/gateway/RequestRecord.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/RequestRecord.java
@@ -14,7 +14,7 @@
      * @param detail the inputs that decided
      * @param nanos the local monotonic time
      */
-    record Step(String kind, String server, String detail, long nanos) {}
+    record Step(StepKind kind, String server, String detail, long nanos) {}
 
     /** The request. */
     private final GatewayRequest mRequest;
@@ -42,7 +42,7 @@
      * @param detail the inputs that decided
      * @param nanos the local monotonic time
      */
-    void add(String kind, String server, String detail, long nanos) {
+    void add(StepKind kind, String server, String detail, long nanos) {
         mSteps.add(new Step(kind, server, detail, nanos));
     }
 
--- a/router/src/test/java/org/magnoliaseam/settings/load/ConfigurationPageTest.java
+++ b/router/src/test/java/org/magnoliaseam/settings/load/ConfigurationPageTest.java
@@ -25,6 +25,7 @@
 import org.magnoliaseam.settings.schema.PeerType;
 import org.magnoliaseam.settings.schema.SchemaCheck;
 import org.magnoliaseam.settings.schema.SectionReader;
+import org.magnoliaseam.settings.schema.StoreKeys;
 import org.magnoliaseam.settings.schema.TableSpec;
 
 /** Tests that the page on the configuration states every key and every message. */
@@ -67,6 +68,21 @@
         }
     }
 
+    @Test
+    void everyKeyOfASiteWithAStoreIsStated() {
+        String start = "## Settings with a metadata store";
+        String rest = mPage.substring(mPage.indexOf(start) + start.length());
+        List<String> rows =
+                rest.split("\n## ")[0].lines().filter(line -> line.startsWith("| `")).toList();
+        assertThat(rows).hasSameSizeAs(StoreKeys.TABLE.keys());
+        for (int i = 0; i < rows.size(); i++) {
+            KeySpec<?> key = StoreKeys.TABLE.keys().get(i);
+            String[] cells = rows.get(i).split(" \\| ");
+            assertThat(cells[0]).isEqualTo("| `" + key.name() + "`");
+            assertThat(cells[2]).as(key.name()).isEqualTo(fallback(key));
+        }
+    }
+
     @Test
     void everyMessageIsStated() {
         Stream<Class<?>> checks = ConfigurationChecks.ALL.stream().map(Object::getClass);
--- a/testbed/src/main/java/org/magnoliaseam/testbed/harness/Signal.java
+++ b/testbed/src/main/java/org/magnoliaseam/testbed/harness/Signal.java
@@ -8,6 +8,8 @@
     CONT,
     /** Asks the process to end. */
     TERM,
+    /** Asks the process to read its settings again. */
+    HUP,
     /** Ends the process at once. */
     KILL
 }
--- /dev/null
+++ b/testbed/src/main/java/org/magnoliaseam/testbed/store/StoreStandIn.java
@@ -0,0 +1,174 @@
+package org.magnoliaseam.testbed.store;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Base64;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.magnoliaseam.testbed.http.HttpExchange;
+import org.magnoliaseam.testbed.http.ListenAddress;
+import org.magnoliaseam.testbed.http.StandInServer;
+
+/** Stands in for the metadata store: items by key, pages, and watches that wait. */
+public final class StoreStandIn implements AutoCloseable {
+
+    /** The items in a page. */
+    private static final int PAGE_ITEMS = 3;
+
+    /** The status of a watch whose history is gone. */
+    private static final int GONE = 410;
+
+    /** The server. */
+    private final StandInServer mServer;
+
+    /** The items by key. */
+    private final TreeMap<String, Map<String, Object>> mItems = new TreeMap<>();
+
+    /** The changes in order. */
+    private final List<Map<String, Object>> mChanges = new ArrayList<>();
+
+    /** The revision of the last change. */
+    private long mRevision = 100;
+
+    /** The revision up to which the history is gone. */
+    private long mForgotten = 100;
+
+    /**
+     * Starts a store.
+     *
+     * @param address the address to listen on
+     * @throws Exception if the port cannot be opened
+     */
+    public StoreStandIn(ListenAddress address) throws Exception {
+        mServer = new StandInServer(address, this::handle).start();
+    }
+
+    /**
+     * Returns the server, for faults.
+     *
+     * @return the server
+     */
+    public StandInServer server() {
+        return mServer;
+    }
+
+    /**
+     * Writes an item.
+     *
+     * @param key the key
+     * @param value the text of the value
+     */
+    public synchronized void put(String key, String value) {
+        Map<String, Object> item = new HashMap<>();
+        item.put("key", key);
+        byte[] bytes = value.getBytes(StandardCharsets.UTF_8);
+        item.put("value", Base64.getEncoder().encodeToString(bytes));
+        item.put("revision", ++mRevision);
+        mItems.put(key, item);
+        mChanges.add(item);
+        notifyAll();
+    }
+
+    /**
+     * Removes an item.
+     *
+     * @param key the key
+     */
+    public synchronized void delete(String key) {
+        mItems.remove(key);
+        mChanges.add(Map.of("key", key, "revision", ++mRevision, "deleted", true));
+        notifyAll();
+    }
+
+    /** Forgets the history, so that watches have to read again. */
+    public synchronized void compact() {
+        mChanges.clear();
+        mForgotten = ++mRevision;
+        notifyAll();
+    }
+
+    @Override
+    public void close() throws Exception {
+        mServer.close();
+    }
+
+    /**
+     * Answers a call.
+     *
+     * @param exchange the call
+     */
+    private void handle(HttpExchange exchange) {
+        String prefix = exchange.query("prefix").orElse("");
+        if (exchange.path().endsWith("kv-range")) {
+            range(exchange, prefix, exchange.query("after").orElse(""));
+        } else {
+            watch(exchange, prefix);
+        }
+    }
+
+    /**
+     * Answers with a page of items.
+     *
+     * @param exchange the call
+     * @param prefix the beginning of the keys
+     * @param after the key after which the page begins
+     */
+    private synchronized void range(HttpExchange exchange, String prefix, String after) {
+        List<Map<String, Object>> items = new ArrayList<>();
+        for (Map.Entry<String, Map<String, Object>> entry : mItems.tailMap(after).entrySet()) {
+            if (entry.getKey().startsWith(prefix) && !entry.getKey().equals(after)) {
+                items.add(entry.getValue());
+            }
+        }
+        boolean more = items.size() > PAGE_ITEMS;
+        List<Map<String, Object>> page = more ? items.subList(0, PAGE_ITEMS) : items;
+        exchange.json(200, Map.of("items", page, "has_more", more, "store_revision", mRevision));
+    }
+
+    /**
+     * Answers with changes as soon as there are some.
+     *
+     * @param exchange the call
+     * @param prefix the beginning of the keys
+     */
+    private synchronized void watch(HttpExchange exchange, String prefix) {
+        long after = exchange.number("after", 0);
+        long end = System.nanoTime() + exchange.number("wait_ms", 0) * 1_000_000;
+        List<Map<String, Object>> events = events(prefix, after);
+        try {
+            long left = end - System.nanoTime();
+            while (events.isEmpty() && after >= mForgotten && left > 0) {
+                wait(Math.max(1, left / 1_000_000));
+                events = events(prefix, after);
+                left = end - System.nanoTime();
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        if (after < mForgotten) {
+            exchange.empty(GONE);
+        } else {
+            exchange.json(200, Map.of("events", events, "store_revision", mRevision));
+        }
+    }
+
+    /**
+     * Returns changes.
+     *
+     * @param prefix the beginning of the keys
+     * @param after the revision after which changes count
+     * @return the changes in order
+     */
+    private List<Map<String, Object>> events(String prefix, long after) {
+        List<Map<String, Object>> events = new ArrayList<>();
+        for (Map<String, Object> change : mChanges) {
+            boolean newer = ((Number) change.get("revision")).longValue() > after;
+            if (newer && change.get("key").toString().startsWith(prefix)) {
+                events.add(change);
+            }
+        }
+        return events;
+    }
+}
--- /dev/null
+++ b/testbed/src/test/java/org/magnoliaseam/testbed/proof/StoreDeploymentIT.java
@@ -0,0 +1,324 @@
+package org.magnoliaseam.testbed.proof;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.awaitility.Awaitility.await;
+
+import java.io.IOException;
+import java.net.Socket;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.magnoliaseam.testbed.harness.ManagedProcess;
+import org.magnoliaseam.testbed.harness.Ports;
+import org.magnoliaseam.testbed.harness.Signal;
+import org.magnoliaseam.testbed.http.ListenAddress;
+import org.magnoliaseam.testbed.store.ServerStandIn;
+import org.magnoliaseam.testbed.store.StoreStandIn;
+
+/** Proves the deployment with a metadata store: one real process between stand-ins. */
+class StoreDeploymentIT {
+
+    private static final Duration PATIENCE = Duration.ofSeconds(15);
+
+    private static final String CONFIGURATION =
+            """
+            {"version":%d,"routes":[\
+            {"name":"lookup","host":"127.0.0.1","prefix":"/lookup/","kind":"safe",\
+            "timeout_ms":3000,"target_latency_ms":300,"service":"desk","max_attempts":2},\
+            {"name":"pay","host":"127.0.0.1","prefix":"/pay/","kind":"unsafe",\
+            "timeout_ms":3000,"target_latency_ms":300,"service":"desk","max_attempts":1},\
+            {"name":"steps","host":"127.0.0.1","prefix":"/stream/","kind":"stream",\
+            "timeout_ms":5000,"target_latency_ms":500,"service":"desk","max_attempts":2,\
+            "stream_resumption":true,"gap_target_ms":300}],\
+            "services":[{"name":"desk","max_connections":50}],\
+            "limits":{"max_body_bytes":100000,"idle_timeout_ms":15000},\
+            "tenants":[{"name":"school","api_keys":["key-1"],"priority":1}]}""";
+
+    private final HttpClient mClient =
+            HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
+
+    private final ListenAddress mCallers = Ports.free();
+
+    private final ListenAddress mReadiness = Ports.free();
+
+    private StoreStandIn mStore;
+
+    private ServerStandIn mFirst;
+
+    private ServerStandIn mSecond;
+
+    private ManagedProcess mRouter;
+
+    private int mRequests;
+
+    @TempDir Path mFolder;
+
+    @BeforeEach
+    void start() throws Exception {
+        mStore = new StoreStandIn(Ports.free());
+        mFirst = new ServerStandIn("i-first", Ports.free());
+        mSecond = new ServerStandIn("i-second", Ports.free());
+        mStore.put("op/config", CONFIGURATION.formatted(5));
+        mStore.put("servers/i-first", mFirst.entry("desk", "domain-1", "ready"));
+        mStore.put("servers/i-second", mSecond.entry("desk", "domain-2", "ready"));
+        mStore.put("servers/i-odd", "{\"service\":7}");
+        mStore.put("servers/..", "no entry");
+        Path settings = mFolder.resolve("settings.toml");
+        Files.writeString(settings, settings(mStore.server().address()));
+        List<String> command =
+                List.of(
+                        System.getProperty("magnoliaseam.binary"),
+                        "route",
+                        "--publisher",
+                        "store",
+                        "--settings",
+                        settings.toString());
+        mRouter = new ManagedProcess("router", mFolder, command);
+        await().atMost(PATIENCE).until(() -> ready() == 200);
+    }
+
+    @AfterEach
+    void stop() throws Exception {
+        for (AutoCloseable part : List.of(mRouter, mStore, mFirst, mSecond)) {
+            part.close();
+        }
+    }
+
+    private String settings(ListenAddress store) {
+        return """
+                vm = "entry-1"
+                failure-domain = "domain-1"
+                callers-address = "%s"
+                readiness-address = "%s"
+                operators-address = "%s"
+                peers-address = "%s"
+                store-address = "%s"
+                stop-grace = "5 s"
+                """
+                .formatted(mCallers, mReadiness, Ports.free(), Ports.free(), store);
+    }
+
+    private int ready() {
+        try {
+            URI uri = URI.create("http://" + mReadiness + "/-/ready");
+            return mClient.send(
+                            HttpRequest.newBuilder(uri).build(),
+                            HttpResponse.BodyHandlers.discarding())
+                    .statusCode();
+        } catch (IOException e) {
+            return 0;
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return 0;
+        }
+    }
+
+    private HttpRequest request(String method, String path, String key) {
+        return HttpRequest.newBuilder(URI.create("http://" + mCallers + path))
+                .method(method, HttpRequest.BodyPublishers.ofString("GET".equals(method) ? "" : "{}"))
+                .header("X-Request-Id", "request-" + ++mRequests)
+                .header("X-Deadline-Ms", "2000")
+                .header("X-Tenant", "forged")
+                .header("Authorization", "Bearer " + key)
+                .build();
+    }
+
+    private HttpResponse<String> call(String method, String path) throws Exception {
+        return call(method, path, "key-1");
+    }
+
+    private HttpResponse<String> call(String method, String path, String key) throws Exception {
+        return mClient.send(request(method, path, key), HttpResponse.BodyHandlers.ofString());
+    }
+
+    private void both(ServerStandIn.Mode mode) {
+        mFirst.mode(mode);
+        mSecond.mode(mode);
+    }
+
+    private List<String> runs() {
+        return Stream.concat(mFirst.runs().stream(), mSecond.runs().stream()).toList();
+    }
+
+    /** Tests requests of each kind while servers fail. */
+    @Nested
+    class Requests {
+        @Test
+        void answerIsWholeAndTheKeyStaysHere() throws Exception {
+            HttpResponse<String> answer = call("GET", "/lookup/a%20b?q=1+2&r=%2F");
+            assertThat(answer.statusCode()).isEqualTo(200);
+            assertThat(answer.body()).contains("request-1");
+            assertThat(answer.headers().firstValue("X-Response-Signature")).isPresent();
+            assertThat(mFirst.lastHeaders()).isEqualTo("account=school,key=");
+        }
+
+        @Test
+        void orderIsRunByAnotherServerAfterARefusalAndOnce() throws Exception {
+            mFirst.mode(ServerStandIn.Mode.REFUSE);
+            for (int i = 0; i < 4; i++) {
+                assertThat(call("POST", "/pay/1").statusCode()).isEqualTo(200);
+            }
+            assertThat(mSecond.runs()).hasSize(4).doesNotHaveDuplicates();
+        }
+
+        @Test
+        void orderWhoseAnswerIsLostIsNotRepeatedAndNotCalledNotRun() throws Exception {
+            both(ServerStandIn.Mode.LOSE_ANSWER);
+            HttpResponse<String> answer = call("POST", "/pay/1");
+            assertThat(answer.statusCode()).isIn(502, 504);
+            assertThat(runs()).containsExactly("request-1");
+        }
+
+        @Test
+        void refusalOfAllServersIsAPromise() throws Exception {
+            both(ServerStandIn.Mode.REFUSE);
+            HttpResponse<String> answer = call("POST", "/pay/1");
+            assertThat(answer.statusCode()).isEqualTo(503);
+            assertThat(answer.headers().firstValue("Retry-After")).isPresent();
+            assertThat(runs()).isEmpty();
+        }
+
+        @Test
+        void streamGoesOnAtAnotherServerByteForByte() throws Exception {
+            mFirst.mode(ServerStandIn.Mode.CUT_STREAM);
+            StringBuilder whole = new StringBuilder();
+            for (int i = 1; i <= 6; i++) {
+                whole.append("id: ").append(i).append("\ndata: ").append(i).append("\n\n");
+            }
+            assertThat(call("POST", "/stream/1").body()).isEqualTo(whole.toString());
+        }
+
+        @Test
+        void answerForAnotherRequestIsNotPassedOn() throws Exception {
+            mFirst.mode(ServerStandIn.Mode.FOREIGN);
+            HttpResponse<String> answer = call("GET", "/lookup/1");
+            assertThat(answer.statusCode()).isEqualTo(200);
+            assertThat(answer.body()).contains("i-second");
+        }
+
+        @Test
+        void muteServerIsLeftBeforeTheDeadline() throws Exception {
+            mFirst.mode(ServerStandIn.Mode.MUTE);
+            assertThat(call("GET", "/lookup/1").statusCode()).isEqualTo(200);
+        }
+
+        @Test
+        void unknownKeyAndUnknownRouteAreDenied() throws Exception {
+            assertThat(call("GET", "/lookup/1", "key-2").statusCode()).isEqualTo(401);
+            assertThat(call("GET", "/none/1").statusCode()).isEqualTo(404);
+            assertThat(runs()).isEmpty();
+        }
+
+        @Test
+        void callerThatLeavesStopsTheRequest() throws Exception {
+            both(ServerStandIn.Mode.MUTE);
+            String text =
+                    "POST /pay/1 HTTP/1.1\r\nHost: 127.0.0.1\r\nX-Request-Id: gone\r\n"
+                            + "Authorization: Bearer key-1\r\nContent-Length: 0\r\n\r\n";
+            try (Socket socket = new Socket(mCallers.host(), mCallers.port())) {
+                socket.getOutputStream().write(text.getBytes(StandardCharsets.US_ASCII));
+                await().atMost(PATIENCE).until(() -> runs().contains("gone"));
+            }
+            await().atMost(Duration.ofMillis(1500))
+                    .until(() -> mRouter.output().contains("\"outcome\":\"caller_gone\""));
+        }
+    }
+
+    /** Tests what the process believes. */
+    @Nested
+    class Beliefs {
+        private void untilOnly(ServerStandIn wanted) {
+            await().atMost(PATIENCE)
+                    .until(
+                            () -> {
+                                int before = wanted.runs().size();
+                                for (int i = 0; i < 4; i++) {
+                                    call("GET", "/lookup/1");
+                                }
+                                return wanted.runs().size() == before + 4;
+                            });
+        }
+
+        @Test
+        void drainingServerGetsNothing() {
+            mStore.put("servers/i-first", mFirst.entry("desk", "domain-1", "draining"));
+            untilOnly(mSecond);
+        }
+
+        @Test
+        void failureDomainOutOfServiceGetsNothingUntilItIsBack() {
+            mStore.put("op/evacuate/domain-1", "{}");
+            untilOnly(mSecond);
+            mStore.delete("op/evacuate/domain-1");
+            mStore.delete("servers/i-second");
+            untilOnly(mFirst);
+        }
+
+        @Test
+        void olderOrBrokenConfigurationDoesNotReplaceTheLastGoodOne() throws Exception {
+            mStore.put("op/config", CONFIGURATION.formatted(4).replace("/lookup/", "/other/"));
+            mStore.put("op/config", "{\"version\":9,\"routes\":[{}]}");
+            await().atMost(PATIENCE)
+                    .until(() -> mRouter.output().contains("configuration refused"));
+            assertThat(call("GET", "/lookup/1").statusCode()).isEqualTo(200);
+            assertThat(mRouter.output()).contains("reason=");
+        }
+
+        @Test
+        void changesAreSeenAfterTheHistoryWasForgotten() {
+            mStore.compact();
+            mStore.put("servers/i-first", mFirst.entry("desk", "domain-1", "draining"));
+            untilOnly(mSecond);
+        }
+
+        @Test
+        void outageOfTheStoreLeavesTheServiceRunning() throws Exception {
+            mStore.server().suspend();
+            mStore.server().resetAll();
+            for (int i = 0; i < 20; i++) {
+                assertThat(call("GET", "/lookup/1").statusCode()).isEqualTo(200);
+            }
+            mStore.server().resume();
+            mStore.put("servers/i-first", mFirst.entry("desk", "domain-1", "draining"));
+            untilOnly(mSecond);
+        }
+    }
+
+    /** Tests signals. */
+    @Nested
+    class LifeCycle {
+        @Test
+        void plannedStopLetsARequestInProgressEnd() throws Exception {
+            both(ServerStandIn.Mode.MUTE);
+            CompletableFuture<HttpResponse<String>> answer =
+                    mClient.sendAsync(
+                            request("POST", "/pay/1", "key-1"),
+                            HttpResponse.BodyHandlers.ofString());
+            await().atMost(PATIENCE).until(() -> !runs().isEmpty());
+            mRouter.send(Signal.TERM);
+            await().atMost(Duration.ofSeconds(2)).until(() -> ready() == 503);
+            assertThat(answer.get().statusCode()).isEqualTo(504);
+            assertThat(mRouter.awaitExit(Duration.ofSeconds(8))).isZero();
+        }
+
+        @Test
+        void hangUpReadsTheSettingsAgain() throws Exception {
+            mRouter.send(Signal.HUP);
+            await().atMost(PATIENCE).until(() -> mRouter.output().contains("read again"));
+            assertThat(call("GET", "/lookup/1").statusCode()).isEqualTo(200);
+        }
+    }
+}
