--- a/router/src/main/java/org/magnoliaseam/gateway/GatewayCall.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/GatewayCall.java
@@ -170,7 +170,8 @@
         }
         boolean serverError = head.status() >= 500;
         mRuns++;
-        mRecord.add(StepKind.ANSWERED, from.server().id().value(), "status=" + head.status(), now());
+        mRecord.add(
+                StepKind.ANSWERED, from.server().id().value(), "status=" + head.status(), now());
         if (serverError && mRequest.route().idempotent() && mayTryAgain() && retry()) {
             mMet.add(from.server().id());
             mTry = null;
--- a/router/src/test/java/org/magnoliaseam/gateway/LogsDocumentTest.java
+++ b/router/src/test/java/org/magnoliaseam/gateway/LogsDocumentTest.java
@@ -18,8 +18,9 @@
         String page = Files.readString(Path.of("..", "docs", "LOGS.md"));
         List<String> rows = page.lines().filter(line -> line.startsWith("| `")).toList();
         List<String> words = rows.stream().map(row -> row.split("`")[1]).toList();
-        assertThat(words).containsExactlyElementsOf(
-                Stream.of(StepKind.values()).map(StepKind::text).toList());
+        assertThat(words)
+                .containsExactlyElementsOf(
+                        Stream.of(StepKind.values()).map(StepKind::text).toList());
     }
 
     @Test
--- a/testbed/src/main/java/org/magnoliaseam/testbed/store/ServerStandIn.java
+++ b/testbed/src/main/java/org/magnoliaseam/testbed/store/ServerStandIn.java
@@ -101,11 +101,7 @@
         return ("{\"service\":\"%s\",\"address\":\"%s:%d\",\"zone\":\"%s\",\"version\":\"v1\","
                         + "\"slots\":8,\"state\":\"%s\",\"cold_remaining_ms\":0,\"sequence\":1}")
                 .formatted(
-                        service,
-                        mServer.address().host(),
-                        mServer.address().port(),
-                        domain,
-                        state);
+                        service, mServer.address().host(), mServer.address().port(), domain, state);
     }
 
     @Override
--- a/testbed/src/test/java/org/magnoliaseam/testbed/proof/StoreDeploymentIT.java
+++ b/testbed/src/test/java/org/magnoliaseam/testbed/proof/StoreDeploymentIT.java
@@ -128,7 +128,9 @@
 
     private HttpRequest request(String method, String path, String key) {
         return HttpRequest.newBuilder(URI.create("http://" + mCallers + path))
-                .method(method, HttpRequest.BodyPublishers.ofString("GET".equals(method) ? "" : "{}"))
+                .method(
+                        method,
+                        HttpRequest.BodyPublishers.ofString("GET".equals(method) ? "" : "{}"))
                 .header("X-Request-Id", "request-" + ++mRequests)
                 .header("X-Deadline-Ms", "2000")
                 .header("X-Tenant", "forged")
