Let a new process retry within its share of the slack

Cause: StoreDeploymentIT red in 4 of 16 cases (order refused by one server got 503 though another had room; a cut stream was not resumed): the retry budget began empty, so a fresh process could not repeat the first request that failed. Ruled out: the choice of the second server (the log shows budget_used_up).

--- a/router/src/main/java/org/magnoliaseam/gateway/ServerBoard.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/ServerBoard.java
@@ -2,14 +2,13 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
-import java.util.function.DoubleSupplier;
 import java.util.function.Predicate;
+import java.util.function.Supplier;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.magnoliaseam.backend.BackendFailure;
@@ -24,8 +23,6 @@
 import org.magnoliaseam.gossip.ServerLoad;
 import org.magnoliaseam.model.BackendServerId;
 import org.magnoliaseam.model.FailureDomain;
-import org.magnoliaseam.model.ServiceName;
-import org.magnoliaseam.retry.RetryBudget;
 import org.magnoliaseam.time.MonotonicClock;
 
 /** Knows the backend servers and what runs there, and chooses one for each try. Thread-safe. */
@@ -47,7 +44,7 @@
     private final Set<FailureDomain> mOut = new HashSet<>();
 
     /** The retries of each service. */
-    private final Map<ServiceName, RetryBudget> mBudgets = new HashMap<>();
+    private final ServiceBudgets mBudgets;
 
     /** Ranks backend servers. */
     private final Placement mPlacement;
@@ -58,9 +55,6 @@
     /** The prompt parts to tell the other entry VMs of. */
     private final RecentReads mReads = new RecentReads();
 
-    /** The retries allowed as a fraction of first tries. */
-    private final DoubleSupplier mRetryRatio;
-
     /** The clock. */
     private final MonotonicClock mClock;
 
@@ -77,12 +71,13 @@
      * Creates a board without backend servers.
      *
      * @param ownDomain the failure domain of this entry VM
-     * @param retryRatio the retries allowed as a fraction of first tries
+     * @param retries the bounds of retries
      * @param clock the clock
      */
-    public ServerBoard(FailureDomain ownDomain, DoubleSupplier retryRatio, MonotonicClock clock) {
+    public ServerBoard(
+            FailureDomain ownDomain, Supplier<RetryLimits> retries, MonotonicClock clock) {
         mPlacement = new Placement(ownDomain, mForeign);
-        mRetryRatio = retryRatio;
+        mBudgets = new ServiceBudgets(retries);
         mClock = clock;
         mReturnNanos = clock.nanos();
     }
@@ -330,7 +325,7 @@
      */
     synchronized void firstTry(GatewayRequest request) {
         mPlacement.arrived(request, mClock.nanos());
-        budget(request).firstTry(mRetryRatio.getAsDouble(), mClock.nanos());
+        mBudgets.firstTry(request.service().name(), mVms, mClock.nanos());
     }
 
     /**
@@ -340,17 +335,7 @@
      * @return true if the request may be tried again
      */
     synchronized boolean tryRetry(GatewayRequest request) {
-        return budget(request).take(mRetryRatio.getAsDouble(), mClock.nanos()).allowed();
-    }
-
-    /**
-     * Returns the retry budget of a request's service.
-     *
-     * @param request the request
-     * @return the budget
-     */
-    private RetryBudget budget(GatewayRequest request) {
-        return mBudgets.computeIfAbsent(request.service().name(), name -> new RetryBudget());
+        return mBudgets.take(request.service().name(), mVms, mClock.nanos());
     }
 
     /**
--- a/router/src/main/java/org/magnoliaseam/route/GatewayFactory.java
+++ b/router/src/main/java/org/magnoliaseam/route/GatewayFactory.java
@@ -18,6 +18,7 @@
 import org.magnoliaseam.gateway.GatewayParts;
 import org.magnoliaseam.gateway.Publication;
 import org.magnoliaseam.gateway.RequestLog;
+import org.magnoliaseam.gateway.RetryLimits;
 import org.magnoliaseam.gateway.ServerBoard;
 import org.magnoliaseam.gateway.StopState;
 import org.magnoliaseam.gossip.GossipNode;
@@ -86,8 +87,7 @@
     GatewayProcess process() {
         Publication publication = new Publication(mClock);
         ServerBoard board =
-                new ServerBoard(
-                        mSettings.failureDomain(), () -> mReload.get().retryRatio(), mClock);
+                new ServerBoard(mSettings.failureDomain(), () -> retries(mReload.get()), mClock);
         HttpClient client = client();
         ServerProtocol port = new ServerProtocol(client, mClock);
         MetricRegistry metrics = new MetricRegistry();
@@ -118,6 +118,16 @@
                 mClock);
     }
 
+    /**
+     * Returns the bounds of retries.
+     *
+     * @param settings the settings in force
+     * @return the bounds
+     */
+    private static RetryLimits retries(StoreSettings settings) {
+        return new RetryLimits(settings.retryRatio(), settings.retrySlack());
+    }
+
     /**
      * Creates the client for backend servers and the store.
      *
--- a/router/src/main/java/org/magnoliaseam/settings/StoreSettings.java
+++ b/router/src/main/java/org/magnoliaseam/settings/StoreSettings.java
@@ -19,6 +19,7 @@
  * @param storeAddress the address of the metadata store
  * @param seeds the peer addresses of some entry VMs, which may be out of date
  * @param retryRatio the retries of all entry VMs as a fraction of first tries
+ * @param retrySlack the retries of all entry VMs that may come on top in one window
  * @param stopGrace the time from the signal to stop until the process is killed
  */
 public record StoreSettings(
@@ -31,4 +32,5 @@
         InetSocketAddress storeAddress,
         List<InetSocketAddress> seeds,
         double retryRatio,
+        double retrySlack,
         Duration stopGrace) {}
--- a/router/src/main/java/org/magnoliaseam/settings/load/StoreSettingsLoader.java
+++ b/router/src/main/java/org/magnoliaseam/settings/load/StoreSettingsLoader.java
@@ -62,6 +62,7 @@
                         reader.read(StoreKeys.STORE_ADDRESS),
                         reader.read(StoreKeys.SEEDS),
                         reader.read(StoreKeys.RETRY_RATIO),
+                        reader.read(StoreKeys.RETRY_SLACK),
                         reader.read(StoreKeys.STOP_GRACE));
         if (faults.isEmpty()) {
             return Result.ok(settings);
--- a/router/src/main/java/org/magnoliaseam/settings/schema/StoreKeys.java
+++ b/router/src/main/java/org/magnoliaseam/settings/schema/StoreKeys.java
@@ -39,6 +39,10 @@
     public static final KeySpec<Double> RETRY_RATIO =
             KeySpec.optional("retry-ratio", new DecimalType(0, 1), Scope.LOCAL, 0.1);
 
+    /** The retries of all entry VMs that may come on top in one window. */
+    public static final KeySpec<Double> RETRY_SLACK =
+            KeySpec.optional("retry-slack", new DecimalType(0, 100_000), Scope.LOCAL, 20.0);
+
     /** The time from the signal to stop until the process is killed. */
     public static final KeySpec<Duration> STOP_GRACE =
             KeySpec.optional(
@@ -62,6 +66,7 @@
                             STORE_ADDRESS,
                             SEEDS,
                             RETRY_RATIO,
+                            RETRY_SLACK,
                             STOP_GRACE));
 
     /** Prevents instances of this list of constants. */
--- a/router/src/test/java/org/magnoliaseam/gateway/GatewayFixtures.java
+++ b/router/src/test/java/org/magnoliaseam/gateway/GatewayFixtures.java
@@ -24,6 +24,8 @@
 
     static final FailureDomain HERE = new FailureDomain("domain-1");
 
+    static final RetryLimits RETRIES = new RetryLimits(1, 100);
+
     static final ServiceName ENGINES = new ServiceName("engines");
 
     static final ServiceName DESK = new ServiceName("desk");
