Leave a backend server without a sign of life at the target, and remove a stray log line

Reading the logs also showed a line of a trial for each answer. Ruled out: the retry budget (no budget_used_up in the account). Change: a try is given up after one target when its server has sent nothing to any request since; a server that serves others keeps 2.5 targets.

--- a/router/src/main/java/org/magnoliaseam/gateway/GatewayTry.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/GatewayTry.java
@@ -126,7 +126,8 @@
     }
 
     /**
-     * Tells whether the backend server has been silent for too long.
+     * Tells whether the backend server has been silent for too long: for less long if it has shown
+     * no sign of life to any request since the try began.
      *
      * @param nowNanos the local monotonic time
      * @return true if another one should be tried
@@ -137,8 +138,10 @@
                 begun
                         ? PAUSE_PATIENCE * mOrder.request().route().pauseTargetMillis()
                         : ANSWER_PATIENCE * mOrder.request().route().targetMillis();
-        double patience = Math.max(MIN_PATIENCE_MILLIS, limit);
-        return (nowNanos - mProgressNanos) / NANOS_PER_MILLI > patience;
+        double waited = (nowNanos - mProgressNanos) / NANOS_PER_MILLI;
+        boolean lifeless = !begun && server().lifeNanos() - mProgressNanos <= 0;
+        double sure = lifeless ? mOrder.request().route().targetMillis() : limit;
+        return waited > Math.max(MIN_PATIENCE_MILLIS, Math.min(sure, limit));
     }
 
     @Override
@@ -154,6 +157,7 @@
     @Override
     public void head(AnswerHead head) {
         mHead = head;
+        server().alive(mParts.clock().nanos());
         mStreamed = mOrder.request().route().kind().streamed() && head.status() < 300;
     }
 
@@ -234,6 +238,7 @@
     /** Notes that an event has come. */
     private void progress() {
         long now = mParts.clock().nanos();
+        server().alive(now);
         if (!mRead) {
             mRead = true;
             double millis = mStart.alone() ? (now - mProgressNanos) / NANOS_PER_MILLI : 0;
--- a/router/src/main/java/org/magnoliaseam/gateway/ServerState.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/ServerState.java
@@ -5,7 +5,10 @@
 import org.magnoliaseam.catalog.Service;
 import org.magnoliaseam.model.BackendServerId;
 
-/** Holds what this entry VM knows about one backend server. Guarded by the server board. */
+/**
+ * Holds what this entry VM knows about one backend server. Guarded by the server board, but for the
+ * last sign of life.
+ */
 final class ServerState {
 
     /** The age up to which a stated load counts, in nanoseconds. */
@@ -53,6 +56,9 @@
     /** The local monotonic time of the stated load. */
     private long mLoadNanos;
 
+    /** The local monotonic time of the last sign of life. */
+    private volatile long mLifeNanos;
+
     /** The measured reading speed in tokens a millisecond. */
     private double mTokensPerMilli = INITIAL_TOKENS_PER_MILLI;
 
@@ -64,6 +70,7 @@
      */
     ServerState(ServerEntry entry, long nowNanos) {
         mEntry = entry;
+        mLifeNanos = nowNanos;
         mLoadNanos = nowNanos - LOAD_VALID_NANOS;
         mColdUntilNanos = nowNanos + entry.coldMillis() * 1_000_000L;
     }
@@ -115,6 +122,24 @@
         return mEntry;
     }
 
+    /**
+     * Notes that the backend server has sent something.
+     *
+     * @param nowNanos the local monotonic time
+     */
+    void alive(long nowNanos) {
+        mLifeNanos = nowNanos;
+    }
+
+    /**
+     * Returns the last sign of life.
+     *
+     * @return the local monotonic time
+     */
+    long lifeNanos() {
+        return mLifeNanos;
+    }
+
     /**
      * Returns how the tries ended.
      *
--- a/router/src/main/java/org/magnoliaseam/platform/ServerExchange.java
+++ b/router/src/main/java/org/magnoliaseam/platform/ServerExchange.java
@@ -89,12 +89,6 @@
             return;
         }
         load(fields.get(WireNames.LOAD));
-        org.apache.logging.log4j.LogManager.getLogger("x")
-                .info(
-                        "KA {} {} {}",
-                        fields.get("Keep-Alive"),
-                        fields.get("Connection"),
-                        fields.get("X-Server-Load"));
         int status = response.getStatus();
         if (status == HttpStatus.MISDIRECTED_REQUEST_421) {
             mFault = BackendFailure.REFUSED;
