--- a/router/src/main/java/org/magnoliaseam/gateway/GatewayTry.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/GatewayTry.java
@@ -126,8 +126,7 @@
     }
 
     /**
-     * Tells whether the backend server has been silent for too long: for less long if it has shown
-     * no sign of life to any request since the try began.
+     * Tells whether the backend server has been silent for too long.
      *
      * @param nowNanos the local monotonic time
      * @return true if another one should be tried
@@ -138,10 +137,8 @@
                 begun
                         ? PAUSE_PATIENCE * mOrder.request().route().pauseTargetMillis()
                         : ANSWER_PATIENCE * mOrder.request().route().targetMillis();
-        double waited = (nowNanos - mProgressNanos) / NANOS_PER_MILLI;
-        boolean lifeless = !begun && server().lifeNanos() - mProgressNanos <= 0;
-        double sure = lifeless ? mOrder.request().route().targetMillis() : limit;
-        return waited > Math.max(MIN_PATIENCE_MILLIS, Math.min(sure, limit));
+        double patience = Math.max(MIN_PATIENCE_MILLIS, limit);
+        return (nowNanos - mProgressNanos) / NANOS_PER_MILLI > patience;
     }
 
     @Override
@@ -157,7 +154,6 @@
     @Override
     public void head(AnswerHead head) {
         mHead = head;
-        server().alive(mParts.clock().nanos());
         mStreamed = mOrder.request().route().kind().streamed() && head.status() < 300;
     }
 
@@ -238,7 +234,6 @@
     /** Notes that an event has come. */
     private void progress() {
         long now = mParts.clock().nanos();
-        server().alive(now);
         if (!mRead) {
             mRead = true;
             double millis = mStart.alone() ? (now - mProgressNanos) / NANOS_PER_MILLI : 0;
--- a/router/src/main/java/org/magnoliaseam/gateway/ServerState.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/ServerState.java
@@ -5,10 +5,7 @@
 import org.magnoliaseam.catalog.Service;
 import org.magnoliaseam.model.BackendServerId;
 
-/**
- * Holds what this entry VM knows about one backend server. Guarded by the server board, but for the
- * last sign of life.
- */
+/** Holds what this entry VM knows about one backend server. Guarded by the server board. */
 final class ServerState {
 
     /** The age up to which a stated load counts, in nanoseconds. */
@@ -56,9 +53,6 @@
     /** The local monotonic time of the stated load. */
     private long mLoadNanos;
 
-    /** The local monotonic time of the last sign of life. */
-    private volatile long mLifeNanos;
-
     /** The measured reading speed in tokens a millisecond. */
     private double mTokensPerMilli = INITIAL_TOKENS_PER_MILLI;
 
@@ -70,7 +64,6 @@
      */
     ServerState(ServerEntry entry, long nowNanos) {
         mEntry = entry;
-        mLifeNanos = nowNanos;
         mLoadNanos = nowNanos - LOAD_VALID_NANOS;
         mColdUntilNanos = nowNanos + entry.coldMillis() * 1_000_000L;
     }
@@ -122,24 +115,6 @@
         return mEntry;
     }
 
-    /**
-     * Notes that the backend server has sent something.
-     *
-     * @param nowNanos the local monotonic time
-     */
-    void alive(long nowNanos) {
-        mLifeNanos = nowNanos;
-    }
-
-    /**
-     * Returns the last sign of life.
-     *
-     * @return the local monotonic time
-     */
-    long lifeNanos() {
-        return mLifeNanos;
-    }
-
     /**
      * Returns how the tries ended.
      *
--- a/router/src/test/java/org/magnoliaseam/gateway/GatewayCallTest.java
+++ b/router/src/test/java/org/magnoliaseam/gateway/GatewayCallTest.java
@@ -27,7 +27,6 @@
 import org.magnoliaseam.error.Refusal;
 import org.magnoliaseam.exchange.AnswerHead;
 import org.magnoliaseam.exchange.Cancellation;
-import org.magnoliaseam.model.BackendServerId;
 import org.magnoliaseam.model.FailureDomain;
 
 /** Tests what a request does when its tries fail, with a port that fails on demand. */
@@ -236,32 +235,6 @@
             assertThat(mSink.mStatus).isEqualTo(200);
         }
 
-        @Test
-        void serverWithoutASignOfLifeIsLeftAtTheTarget() {
-            submit(RequestKind.STREAM, 2, true);
-            mNow.set(550 * MILLI);
-            mGateway.tick();
-            assertThat(mPort.mCancelled).isEqualTo(1);
-            assertThat(mPort.mOrders).hasSize(2);
-        }
-
-        @Test
-        void serverThatServesOthersIsGivenMoreTime() {
-            mBoard.withdrawn(new BackendServerId("engine-b"));
-            mBoard.withdrawn(new BackendServerId("engine-c"));
-            submit(RequestKind.STREAM, 2, true);
-            submit(RequestKind.STREAM, 2, true);
-            mNow.set(300 * MILLI);
-            mPort.last().head(head(200));
-            content("id: 1\ndata: a\n\n");
-            mNow.set(550 * MILLI);
-            mGateway.tick();
-            assertThat(mPort.mCancelled).isZero();
-            mNow.set(1300 * MILLI);
-            mGateway.tick();
-            assertThat(mPort.mCancelled).isPositive();
-        }
-
         @Test
         void runsOnNoMoreServersThanTheRouteAllows() {
             submit(RequestKind.REPEATABLE, 2, false);
