Read the bodies of backend servers' answers in one place

Ruled out: one class for both exchanges; their heads are different protocols. Change: AnswerPump serves both; behaviour as before. Before: two copies.

--- a/router/src/main/java/org/magnoliaseam/backend/BackendExchange.java
+++ b/router/src/main/java/org/magnoliaseam/backend/BackendExchange.java
@@ -1,10 +1,7 @@
 package org.magnoliaseam.backend;
 
-import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.TimeoutException;
 import org.eclipse.jetty.client.Request;
 import org.eclipse.jetty.client.Response;
 import org.eclipse.jetty.client.Result;
@@ -30,6 +27,9 @@
     /** The listener. */
     private final BackendListener mListener;
 
+    /** Reads the body and names failures. */
+    private final AnswerPump mPump;
+
     /** Whether a byte of the request may have been sent. */
     private volatile boolean mSending;
 
@@ -51,6 +51,7 @@
     BackendExchange(RequestId id, BackendListener listener) {
         mId = id;
         mListener = listener;
+        mPump = new AnswerPump(listener, () -> mRefused);
     }
 
     /**
@@ -99,19 +100,7 @@
      * @param source the body
      */
     void content(Response response, Content.Source source) {
-        while (true) {
-            Content.Chunk chunk = source.read();
-            if (chunk == null) {
-                source.demand(() -> content(response, source));
-                return;
-            }
-            if (Content.Chunk.isFailure(chunk)) {
-                return;
-            }
-            if (!deliver(response, source, chunk)) {
-                return;
-            }
-        }
+        mPump.content(response, source);
     }
 
     /**
@@ -130,60 +119,7 @@
         } else if (result.isSucceeded()) {
             mListener.ended();
         } else {
-            fail(result.getFailure());
-        }
-    }
-
-    /**
-     * Hands one part of the body to the listener.
-     *
-     * @param response the answer
-     * @param source the body
-     * @param chunk the part
-     * @return true if the next part can be read at once
-     */
-    private boolean deliver(Response response, Content.Source source, Content.Chunk chunk) {
-        boolean last = chunk.isLast();
-        if (mRefused || !chunk.hasRemaining()) {
-            chunk.release();
-            return !last;
-        }
-        ByteBuffer bytes = ByteBuffer.allocate(chunk.remaining());
-        bytes.put(chunk.getByteBuffer()).flip();
-        chunk.release();
-        CompletableFuture<Void> taken = mListener.content(bytes);
-        if (taken.isDone() && !taken.isCompletedExceptionally()) {
-            return !last;
-        }
-        taken.whenComplete(
-                (ignored, failure) -> {
-                    if (failure != null) {
-                        response.abort(new CallCancelledException());
-                    } else if (!last) {
-                        content(response, source);
-                    }
-                });
-        return false;
-    }
-
-    /**
-     * Reports the failure of the exchange.
-     *
-     * @param cause the failure
-     */
-    private void fail(Throwable cause) {
-        String detail = cause.getClass().getSimpleName();
-        if (!mSending && cause instanceof CallCancelledException) {
-            mListener.failed(BackendFailure.HELD_BACK, "The router cancelled the call.");
-        } else if (!mSending) {
-            mListener.failed(BackendFailure.NOT_SENT, "No connection was made: " + detail + ".");
-        } else if (cause instanceof CallCancelledException) {
-            mListener.failed(BackendFailure.INCOMPLETE, "The router cancelled the call.");
-        } else if (cause instanceof TimeoutException) {
-            mListener.failed(BackendFailure.TIMEOUT, "The time limit passed.");
-        } else {
-            mListener.failed(
-                    BackendFailure.CONNECTION_LOST, "The connection was lost: " + detail + ".");
+            mPump.fail(mSending, result.getFailure());
         }
     }
 }
--- a/router/src/main/java/org/magnoliaseam/platform/ServerExchange.java
+++ b/router/src/main/java/org/magnoliaseam/platform/ServerExchange.java
@@ -1,10 +1,7 @@
 package org.magnoliaseam.platform;
 
-import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.TimeoutException;
 import org.eclipse.jetty.client.Connection;
 import org.eclipse.jetty.client.Request;
 import org.eclipse.jetty.client.Response;
@@ -15,6 +12,7 @@
 import org.eclipse.jetty.http.HttpStatus;
 import org.eclipse.jetty.io.AbstractConnection;
 import org.eclipse.jetty.io.Content;
+import org.magnoliaseam.backend.AnswerPump;
 import org.magnoliaseam.backend.BackendFailure;
 import org.magnoliaseam.backend.CallCancelledException;
 import org.magnoliaseam.backend.ResetAwareEndPoint;
@@ -36,6 +34,9 @@
     /** Takes the answer. */
     private final TryListener mListener;
 
+    /** Reads the body and names failures. */
+    private final AnswerPump mPump;
+
     /** Whether a byte of the request may have left. */
     private volatile boolean mSending;
 
@@ -60,6 +61,7 @@
     ServerExchange(RequestId id, TryListener listener) {
         mId = id;
         mListener = listener;
+        mPump = new AnswerPump(listener, () -> mFault != null);
     }
 
     /**
@@ -116,19 +118,7 @@
      * @param source the body
      */
     void content(Response response, Content.Source source) {
-        while (true) {
-            Content.Chunk chunk = source.read();
-            if (chunk == null) {
-                source.demand(() -> content(response, source));
-                return;
-            }
-            if (Content.Chunk.isFailure(chunk)) {
-                return;
-            }
-            if (!deliver(response, source, chunk)) {
-                return;
-            }
-        }
+        mPump.content(response, source);
     }
 
     /**
@@ -146,7 +136,7 @@
         } else if (result.isSucceeded()) {
             mListener.ended();
         } else {
-            fail(result.getFailure());
+            mPump.fail(mSending, result.getFailure());
         }
     }
 
@@ -198,57 +188,4 @@
             mDetail = "The stated load is malformed.";
         }
     }
-
-    /**
-     * Passes a part of the body on.
-     *
-     * @param response the answer
-     * @param source the body
-     * @param chunk the part
-     * @return true if the next part may be read at once
-     */
-    private boolean deliver(Response response, Content.Source source, Content.Chunk chunk) {
-        boolean last = chunk.isLast();
-        if (mFault != null || !chunk.hasRemaining()) {
-            chunk.release();
-            return !last;
-        }
-        ByteBuffer bytes = ByteBuffer.allocate(chunk.remaining());
-        bytes.put(chunk.getByteBuffer()).flip();
-        chunk.release();
-        CompletableFuture<Void> taken = mListener.content(bytes);
-        if (taken.isDone() && !taken.isCompletedExceptionally()) {
-            return !last;
-        }
-        taken.whenComplete(
-                (ignored, failure) -> {
-                    if (failure != null) {
-                        response.abort(new CallCancelledException());
-                    } else if (!last) {
-                        content(response, source);
-                    }
-                });
-        return false;
-    }
-
-    /**
-     * Reports a failed exchange.
-     *
-     * @param cause why it failed
-     */
-    private void fail(Throwable cause) {
-        String detail = cause.getClass().getSimpleName();
-        if (!mSending && cause instanceof CallCancelledException) {
-            mListener.failed(BackendFailure.HELD_BACK, "The router cancelled the call.");
-        } else if (!mSending) {
-            mListener.failed(BackendFailure.NOT_SENT, "No connection was made: " + detail + ".");
-        } else if (cause instanceof CallCancelledException) {
-            mListener.failed(BackendFailure.INCOMPLETE, "The router cancelled the call.");
-        } else if (cause instanceof TimeoutException) {
-            mListener.failed(BackendFailure.TIMEOUT, "The time limit passed.");
-        } else {
-            mListener.failed(
-                    BackendFailure.CONNECTION_LOST, "The connection was lost: " + detail + ".");
-        }
-    }
 }
