Let a leaving process run ticket holders that no peer takes

Cause: PlannedStopIT in KNOWN-RED: 503 'leaving' for a request whose ticket entry-3 had issued itself. The dispatcher refused it whenever no peer with a fresh heartbeat was at hand (peers just restarted, or a busy machine), though ShutdownPhase.TICKETS_EXPIRE says that own tickets still run; no other VM can honour them. Ruled out: the ticket ledger refuses only new tickets; the balancer grace is respected. Change: a request that is not idempotent waits here if no peer takes it. Before: TieredDispatcherTest.runsTicketHoldersWithoutPeers red (Refuse:b, leaving); after: green, 25 of 25 of the class.

--- a/router/src/main/java/org/magnoliaseam/dispatch/TieredDispatcher.java
+++ b/router/src/main/java/org/magnoliaseam/dispatch/TieredDispatcher.java
@@ -87,8 +87,11 @@
         WaitingRequest request =
                 new WaitingRequest(work, queue, deadlines(work, queue, nowNanos), ++mOffers);
         if (mLeaving && !work.started()) {
-            decisions.add(mHandOverRule.passOnOrRefuse(request, ErrorKind.LEAVING, nowNanos));
-            return decisions;
+            Decision decision = mHandOverRule.passOnOrRefuse(request, ErrorKind.LEAVING, nowNanos);
+            if (ends(request, decision)) {
+                decisions.add(decision);
+                return decisions;
+            }
         }
         if (!hasRoom(request, nowNanos, decisions)) {
             decisions.add(mHandOverRule.passOnOrRefuse(request, ErrorKind.OVERLOADED, nowNanos));
@@ -270,13 +273,30 @@
      */
     private void dismissNew(long nowNanos, List<Decision> decisions) {
         for (WaitingRequest request : mQueues.all()) {
-            if (!request.work().started()) {
+            if (request.work().started()) {
+                continue;
+            }
+            Decision decision = mHandOverRule.passOnOrRefuse(request, ErrorKind.LEAVING, nowNanos);
+            if (ends(request, decision)) {
                 mQueues.remove(request);
-                decisions.add(mHandOverRule.passOnOrRefuse(request, ErrorKind.LEAVING, nowNanos));
+                decisions.add(decision);
             }
         }
     }
 
+    /**
+     * Tells whether a request ends its wait in a leaving process. A request that is not idempotent
+     * holds a ticket of this process, which no other one can honour, so it waits here if no peer
+     * takes it.
+     *
+     * @param request the request
+     * @param decision what to do with it otherwise
+     * @return false if the request waits here
+     */
+    private static boolean ends(WaitingRequest request, Decision decision) {
+        return decision instanceof Decision.HandOver || request.work().requestClass().idempotent();
+    }
+
     /**
      * Summarizes the load for the peers. A wait that no peer can end must not withhold work there,
      * so that of requests without a server, handed over or started doesn't count.
--- a/router/src/test/java/org/magnoliaseam/dispatch/TieredDispatcherTest.java
+++ b/router/src/test/java/org/magnoliaseam/dispatch/TieredDispatcherTest.java
@@ -283,6 +283,26 @@
             assertThat(brief(mDispatcher.update(mFleet.build(), MILLI)))
                     .containsExactly("HandOver:b");
         }
+
+        @Test
+        void runsTicketHoldersWithoutPeers() {
+            mFleet.requestClass("seat", 1, 0, false, "e-1");
+            mDispatcher.update(mFleet.build(), 0);
+            offer("a", "chat", "x", 0);
+            assertThat(brief(offer("b", "seat", "x", 0))).isEmpty();
+            assertThat(brief(mDispatcher.update(mFleet.leaving().build(), MILLI))).isEmpty();
+            assertThat(brief(finish("a", 2))).containsExactly("Start:b");
+            assertThat(brief(finish("b", 3))).isEmpty();
+            assertThat(brief(offer("c", "seat", "x", 4))).containsExactly("Start:c");
+        }
+
+        @Test
+        void passesTicketHoldersToPeer() {
+            mFleet.requestClass("seat", 1, 0, false, "e-1");
+            mFleet.peer("entry-2", 0, 0).leaving();
+            mDispatcher.update(mFleet.build(), 0);
+            assertThat(brief(offer("b", "seat", "x", 1))).containsExactly("HandOver:b");
+        }
     }
 
     /** Tests the choice of the server. */
