Share cold starts and retries by the entry VMs that may live, also at 30 and more

Ruled out: counting retries over gossip (a VM out of touch would not be counted). Change: only the first max(1, rate/2) entry VMs by rendezvous send to a cold server, none that has just started; retries in a sliding window with the share of the slack by the present number of VMs; a digest tells how many VMs its sender has heard.

--- a/router/src/main/java/org/magnoliaseam/gateway/ColdAllowance.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/ColdAllowance.java
@@ -12,12 +12,21 @@
     /** The nanoseconds of a second. */
     private static final double NANOS_PER_SECOND = 1e9;
 
-    /** The requests that may be sent now. */
-    private double mAvailable = BURST;
+    /** The requests that may be sent now; none at first, so that a restart allows no burst. */
+    private double mAvailable;
 
     /** The local monotonic time of the last refill. */
     private long mRefilledNanos;
 
+    /**
+     * Creates an allowance.
+     *
+     * @param nowNanos the local monotonic time
+     */
+    ColdAllowance(long nowNanos) {
+        mRefilledNanos = nowNanos;
+    }
+
     /**
      * Takes the right to send one request.
      *
--- a/router/src/main/java/org/magnoliaseam/gateway/ServerBoard.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/ServerBoard.java
@@ -18,6 +18,7 @@
 import org.magnoliaseam.gossip.Demand;
 import org.magnoliaseam.gossip.Digest;
 import org.magnoliaseam.gossip.GossipListener;
+import org.magnoliaseam.gossip.Membership;
 import org.magnoliaseam.gossip.PartRead;
 import org.magnoliaseam.gossip.PeerEndpoint;
 import org.magnoliaseam.gossip.ServerLoad;
@@ -28,9 +29,6 @@
 /** Knows the backend servers and what runs there, and chooses one for each try. Thread-safe. */
 public final class ServerBoard implements GossipListener {
 
-    /** The entry VMs that may share a limit while their number is unknown. */
-    private static final int ASSUMED_VMS = 8;
-
     /** The time in which lapsed entries come back after an outage of the publisher. */
     private static final long RETURN_NANOS = 2_200_000_000L;
 
@@ -64,8 +62,8 @@
     /** The local monotonic time up to which lapsed entries may come back. */
     private long mReturnNanos;
 
-    /** The entry VMs that may live, which share each limit. */
-    private int mVms = ASSUMED_VMS;
+    /** Divides limits that hold over all entry VMs. */
+    private final VmShares mShares = new VmShares();
 
     /**
      * Creates a board without backend servers.
@@ -203,13 +201,16 @@
     }
 
     @Override
-    public synchronized void vms(int vms) {
+    public synchronized void members(Membership members) {
         mForeign.expire(mClock.nanos());
         endReturn();
-        if (vms != mVms) {
-            LOG.info("board: entry VMs that share the limits, before={} now={}", mVms, vms);
-            mVms = vms;
+        if (members.vms() != mShares.vms()) {
+            LOG.info(
+                    "board: entry VMs that share the limits, before={} now={}",
+                    mShares.vms(),
+                    members.vms());
         }
+        mShares.members(members);
     }
 
     /**
@@ -228,7 +229,7 @@
         List<ServerState> open = new ArrayList<>();
         for (ServerState state : present) {
             boolean fresh = !excluded.contains(state.id());
-            if (fresh && state.bears(request.service(), mVms, now)) {
+            if (fresh && state.bears(request.service(), mShares, now)) {
                 open.add(state);
             }
         }
@@ -242,7 +243,7 @@
         ServerState chosen = mPlacement.choose(request, present, candidates, now);
         String reason = mPlacement.describe(request, chosen, candidates.size(), now);
         boolean alone = chosen.waitingTokens(mForeign) == 0;
-        long tokens = chosen.start(request, mVms, now);
+        long tokens = chosen.start(request, mShares, now);
         mReads.sent(chosen.id(), request.prompt());
         return new Choice.Start(chosen, tokens, alone, reason);
     }
@@ -325,7 +326,7 @@
      */
     synchronized void firstTry(GatewayRequest request) {
         mPlacement.arrived(request, mClock.nanos());
-        mBudgets.firstTry(request.service().name(), mVms, mClock.nanos());
+        mBudgets.firstTry(request.service().name(), mClock.nanos());
     }
 
     /**
@@ -335,7 +336,7 @@
      * @return true if the request may be tried again
      */
     synchronized boolean tryRetry(GatewayRequest request) {
-        return mBudgets.take(request.service().name(), mVms, mClock.nanos());
+        return mBudgets.take(request.service().name(), mShares.vms(), mClock.nanos());
     }
 
     /**
--- a/router/src/main/java/org/magnoliaseam/gateway/ServerState.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/ServerState.java
@@ -30,7 +30,7 @@
     private final FailureHistory mFailures = new FailureHistory();
 
     /** Limits the requests during a cold start. */
-    private final ColdAllowance mCold = new ColdAllowance();
+    private final ColdAllowance mCold;
 
     /** What is published about the backend server. */
     private ServerEntry mEntry;
@@ -64,6 +64,7 @@
      */
     ServerState(ServerEntry entry, long nowNanos) {
         mEntry = entry;
+        mCold = new ColdAllowance(nowNanos);
         mLoadNanos = nowNanos - LOAD_VALID_NANOS;
         mColdUntilNanos = nowNanos + entry.coldMillis() * 1_000_000L;
     }
@@ -128,12 +129,13 @@
      * Tells whether a cold start leaves room for one more request.
      *
      * @param service the service
-     * @param vms the entry VMs that may send to the backend server
+     * @param shares divides what the backend server bears
      * @param nowNanos the local monotonic time
      * @return true if the backend server is warm or its limit is not reached
      */
-    boolean bears(Service service, int vms, long nowNanos) {
-        return !cold(service, nowNanos) || mCold.available(service.coldPerSecond() / vms, nowNanos);
+    boolean bears(Service service, VmShares shares, long nowNanos) {
+        return !cold(service, nowNanos)
+                || mCold.available(shares.coldPerSecond(service, id()), nowNanos);
     }
 
     /**
@@ -151,13 +153,13 @@
      * Counts a try that starts.
      *
      * @param request the request
-     * @param vms the entry VMs that may send to the backend server
+     * @param shares divides what the backend server bears in cold start
      * @param nowNanos the local monotonic time
      * @return the prompt tokens that the backend server has to read for it
      */
-    long start(GatewayRequest request, int vms, long nowNanos) {
+    long start(GatewayRequest request, VmShares shares, long nowNanos) {
         if (cold(request.service(), nowNanos)) {
-            mCold.take(request.service().coldPerSecond() / vms, nowNanos);
+            mCold.take(shares.coldPerSecond(request.service(), id()), nowNanos);
         }
         long tokens = unreadTokens(request.prompt());
         mRunning++;
--- a/router/src/main/java/org/magnoliaseam/gateway/ServiceBudgets.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/ServiceBudgets.java
@@ -4,7 +4,7 @@
 import java.util.Map;
 import java.util.function.Supplier;
 import org.magnoliaseam.model.ServiceName;
-import org.magnoliaseam.retry.RetryBudget;
+import org.magnoliaseam.retry.WindowedRetries;
 
 /** Holds a retry budget for each service. Not thread-safe. */
 final class ServiceBudgets {
@@ -13,7 +13,7 @@
     private static final double SLACK_SHARE = 0.8;
 
     /** The budgets by service. */
-    private final Map<ServiceName, RetryBudget> mBudgets = new HashMap<>();
+    private final Map<ServiceName, WindowedRetries> mBudgets = new HashMap<>();
 
     /** The bounds of retries. */
     private final Supplier<RetryLimits> mLimits;
@@ -31,11 +31,10 @@
      * Counts the first try of a request.
      *
      * @param service the service
-     * @param vms the entry VMs that share the bounds
      * @param nowNanos the local monotonic time
      */
-    void firstTry(ServiceName service, int vms, long nowNanos) {
-        budget(service, vms).firstTry(mLimits.get().ratio(), nowNanos);
+    void firstTry(ServiceName service, long nowNanos) {
+        budget(service).firstTry(nowNanos);
     }
 
     /**
@@ -47,18 +46,18 @@
      * @return true if the request may be tried again
      */
     boolean take(ServiceName service, int vms, long nowNanos) {
-        return budget(service, vms).take(mLimits.get().ratio(), nowNanos).allowed();
+        RetryLimits limits = mLimits.get();
+        double slack = SLACK_SHARE * limits.slack() / vms;
+        return budget(service).take(limits.ratio(), slack, nowNanos);
     }
 
     /**
      * Returns the budget of a service.
      *
      * @param service the service
-     * @param vms the entry VMs that share the bounds
-     * @return the budget, which begins with the share of the slack
+     * @return the budget
      */
-    private RetryBudget budget(ServiceName service, int vms) {
-        double share = SLACK_SHARE * mLimits.get().slack() / vms;
-        return mBudgets.computeIfAbsent(service, name -> new RetryBudget(share, share));
+    private WindowedRetries budget(ServiceName service) {
+        return mBudgets.computeIfAbsent(service, name -> new WindowedRetries());
     }
 }
--- a/router/src/main/java/org/magnoliaseam/gossip/DigestCodec.java
+++ b/router/src/main/java/org/magnoliaseam/gossip/DigestCodec.java
@@ -14,7 +14,7 @@
 final class DigestCodec {
 
     /** The version of the format. */
-    private static final int FORMAT = 1;
+    private static final int FORMAT = 2;
 
     /** The largest number of elements in a list. */
     private static final int MAX_ELEMENTS = 4096;
@@ -34,6 +34,7 @@
             packer.packInt(FORMAT);
             packer.packLong(digest.incarnation());
             packer.packLong(digest.sequence());
+            packer.packInt(digest.vms());
             packer.packArrayHeader(digest.peers().size());
             for (PeerEndpoint peer : digest.peers()) {
                 packer.packString(peer.host());
@@ -76,9 +77,11 @@
             }
             long incarnation = unpacker.unpackLong();
             long sequence = unpacker.unpackLong();
+            int vms = unpacker.unpackInt();
             return new Digest(
                     incarnation,
                     sequence,
+                    vms,
                     list(unpacker, DigestCodec::peer),
                     list(unpacker, DigestCodec::load),
                     list(unpacker, DigestCodec::demand),
--- a/router/src/main/java/org/magnoliaseam/gossip/GossipListener.java
+++ b/router/src/main/java/org/magnoliaseam/gossip/GossipListener.java
@@ -35,9 +35,9 @@
     void heard(PeerEndpoint peer, Digest digest);
 
     /**
-     * Takes the number of entry VMs that may live.
+     * Takes which entry VMs may live.
      *
-     * @param vms the number with this one
+     * @param membership the entry VMs that share common limits
      */
-    void vms(int vms);
+    void members(Membership membership);
 }
--- a/router/src/main/java/org/magnoliaseam/gossip/GossipNode.java
+++ b/router/src/main/java/org/magnoliaseam/gossip/GossipNode.java
@@ -83,7 +83,8 @@
                 new PeerDirectory(
                         PeerEndpoint.of(address),
                         seeds.stream().map(PeerEndpoint::of).toList(),
-                        random);
+                        random,
+                        clock.nanos());
     }
 
     /**
@@ -112,13 +113,14 @@
     private void send() {
         try {
             long now = mClock.nanos();
-            mListener.vms(mPeers.mayLive(now));
+            mListener.members(mPeers.mayLive(now));
             List<PeerEndpoint> live = mPeers.live(now);
             List<PeerEndpoint> named = live.subList(0, Math.min(NAMED_PEERS, live.size()));
             Digest digest =
                     new Digest(
                             mIncarnation,
                             ++mSequence,
+                            mPeers.heardLately(now),
                             named,
                             mListener.loads(),
                             mListener.demands(),
@@ -165,7 +167,7 @@
             return;
         }
         mSequences.put(peer, new long[] {digest.incarnation(), digest.sequence()});
-        if (mPeers.heard(peer, digest.peers(), mClock.nanos())) {
+        if (mPeers.heard(peer, digest, mClock.nanos())) {
             LOG.info("gossip: peer found, address={}:{}", peer.host(), peer.port());
         }
         mListener.heard(peer, digest);
--- a/router/src/main/java/org/magnoliaseam/gossip/PeerDirectory.java
+++ b/router/src/main/java/org/magnoliaseam/gossip/PeerDirectory.java
@@ -21,17 +21,26 @@
     /** The time for which an unheard address is tried, in nanoseconds. */
     private static final long TRY_NANOS = 5_000_000_000L;
 
-    /** The entry VMs beyond the seeds that may exist before any is heard. */
+    /** The entry VMs beyond the seeds that may exist when none is heard. */
     private static final int UNHEARD_VMS = 2;
 
+    /** The entry VMs that may exist while this one has just started. */
+    private static final int ASSUMED_VMS = 32;
+
+    /** The time after the first peer was heard in which all others are heard of. */
+    private static final long SETTLING_NANOS = 500_000_000L;
+
+    /** The time after the start at which an entry VM that hears nobody takes itself for alone. */
+    private static final long ALONE_NANOS = 3_000_000_000L;
+
     /** The own address. */
     private final PeerEndpoint mOwn;
 
     /** The addresses from the settings. */
     private final List<PeerEndpoint> mSeeds;
 
-    /** The local monotonic time at which each peer was heard last. */
-    private final Map<PeerEndpoint, Long> mHeard = new HashMap<>();
+    /** When each peer was heard last. */
+    private final Map<PeerEndpoint, Heard> mHeard = new HashMap<>();
 
     /** The local monotonic time at which each unheard address was named. */
     private final Map<PeerEndpoint, Long> mNamed = new HashMap<>();
@@ -39,14 +48,30 @@
     /** Chooses whom to tell. */
     private final Random mRandom;
 
+    /** The local monotonic time of the start. */
+    private final long mStartNanos;
+
+    /** The local monotonic time at which the first peer was heard; 0 before. */
+    private long mFirstHeardNanos;
+
+    /**
+     * Holds when a peer was heard last.
+     *
+     * @param nanos the local monotonic time
+     * @param vms the entry VMs that the peer had heard, with itself
+     */
+    private record Heard(long nanos, int vms) {}
+
     /**
      * Creates a directory.
      *
      * @param own the own address
      * @param seeds the addresses from the settings
      * @param random chooses whom to tell
+     * @param nowNanos the local monotonic time
      */
-    PeerDirectory(PeerEndpoint own, List<PeerEndpoint> seeds, Random random) {
+    PeerDirectory(PeerEndpoint own, List<PeerEndpoint> seeds, Random random, long nowNanos) {
+        mStartNanos = nowNanos;
         mOwn = own;
         mSeeds = seeds.stream().filter(seed -> !seed.equals(own)).toList();
         mRandom = random;
@@ -56,15 +81,16 @@
      * Notes that a peer was heard, and whom it hears.
      *
      * @param peer the peer
-     * @param named the entry VMs that it hears
+     * @param digest what it tells
      * @param nowNanos the local monotonic time
      * @return true if it was lost or unknown before
      */
-    synchronized boolean heard(PeerEndpoint peer, List<PeerEndpoint> named, long nowNanos) {
+    synchronized boolean heard(PeerEndpoint peer, Digest digest, long nowNanos) {
         boolean found = !live(peer, nowNanos);
-        mHeard.put(peer, nowNanos);
+        mFirstHeardNanos = mFirstHeardNanos == 0 ? nowNanos : mFirstHeardNanos;
+        mHeard.put(peer, new Heard(nowNanos, digest.vms()));
         mNamed.remove(peer);
-        for (PeerEndpoint other : named) {
+        for (PeerEndpoint other : digest.peers()) {
             if (!other.equals(mOwn) && !live(other, nowNanos)) {
                 mNamed.putIfAbsent(other, nowNanos);
             }
@@ -104,14 +130,34 @@
     }
 
     /**
-     * Returns the entry VMs that may live and use their shares, also those that are not heard.
+     * Returns the number of entry VMs that were heard lately, to tell the peers. It leaves out what
+     * peers told, since a number that all repeat to each other would never fall.
      *
      * @param nowNanos the local monotonic time
      * @return the number with this one
      */
-    synchronized int mayLive(long nowNanos) {
-        mHeard.values().removeIf(heard -> nowNanos - heard > MAY_LIVE_NANOS);
-        return Math.max(mSeeds.size() + UNHEARD_VMS, mHeard.size() + 1);
+    synchronized int heardLately(long nowNanos) {
+        mHeard.values().removeIf(heard -> nowNanos - heard.nanos() > MAY_LIVE_NANOS);
+        return mHeard.size() + 1;
+    }
+
+    /**
+     * Returns the entry VMs that may live and use their shares, also those that are not heard.
+     *
+     * @param nowNanos the local monotonic time
+     * @return the entry VMs
+     */
+    synchronized Membership mayLive(long nowNanos) {
+        int vms = Math.max(mSeeds.size() + UNHEARD_VMS, heardLately(nowNanos));
+        for (Heard heard : mHeard.values()) {
+            vms = Math.max(vms, heard.vms());
+        }
+        boolean settled =
+                mFirstHeardNanos == 0
+                        ? nowNanos - mStartNanos >= ALONE_NANOS
+                        : nowNanos - mFirstHeardNanos >= SETTLING_NANOS;
+        int assumed = settled ? vms : Math.max(vms, ASSUMED_VMS);
+        return new Membership(mOwn, Set.copyOf(mHeard.keySet()), assumed, settled);
     }
 
     /**
@@ -122,7 +168,7 @@
      * @return true if it is not lost
      */
     private boolean live(PeerEndpoint peer, long nowNanos) {
-        Long heard = mHeard.get(peer);
-        return heard != null && nowNanos - heard < LOST_NANOS;
+        Heard heard = mHeard.get(peer);
+        return heard != null && nowNanos - heard.nanos() < LOST_NANOS;
     }
 }
--- a/router/src/main/java/org/magnoliaseam/retry/RetryBudget.java
+++ b/router/src/main/java/org/magnoliaseam/retry/RetryBudget.java
@@ -37,9 +37,6 @@
     /** The retries of all entry VMs lately. */
     private final SlidingCount mFleetRetries = new SlidingCount();
 
-    /** The most retries that this entry VM can save up. */
-    private final double mMaxSaved;
-
     /** The retries saved up by this entry VM. */
     private double mSaved;
 
@@ -49,22 +46,6 @@
     /** The retries of this entry VM since its start. */
     private long mRetries;
 
-    /** Creates a budget without savings. */
-    public RetryBudget() {
-        this(0, MAX_SAVED_RETRIES);
-    }
-
-    /**
-     * Creates a budget.
-     *
-     * @param saved the retries that it begins with
-     * @param maxSaved the most retries that it can save up
-     */
-    public RetryBudget(double saved, double maxSaved) {
-        mSaved = saved;
-        mMaxSaved = maxSaved;
-    }
-
     /**
      * Counts a first try.
      *
@@ -74,7 +55,7 @@
     public void firstTry(double fraction, long nowNanos) {
         mFirstTries++;
         mFleetFirstTries.add(1, nowNanos);
-        mSaved = Math.min(mMaxSaved, mSaved + fraction);
+        mSaved = Math.min(MAX_SAVED_RETRIES, mSaved + fraction);
     }
 
     /**
--- a/router/src/test/java/org/magnoliaseam/gateway/GatewayFixtures.java
+++ b/router/src/test/java/org/magnoliaseam/gateway/GatewayFixtures.java
@@ -1,9 +1,11 @@
 package org.magnoliaseam.gateway;
 
 import java.net.InetSocketAddress;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalInt;
+import java.util.Set;
 import org.magnoliaseam.catalog.Account;
 import org.magnoliaseam.catalog.EngineCapacity;
 import org.magnoliaseam.catalog.RequestKind;
@@ -11,6 +13,8 @@
 import org.magnoliaseam.catalog.ServerEntry;
 import org.magnoliaseam.catalog.Service;
 import org.magnoliaseam.catalog.WeightedService;
+import org.magnoliaseam.gossip.Membership;
+import org.magnoliaseam.gossip.PeerEndpoint;
 import org.magnoliaseam.model.BackendServerId;
 import org.magnoliaseam.model.ClientAccountId;
 import org.magnoliaseam.model.FailureDomain;
@@ -83,6 +87,21 @@
                 50);
     }
 
+    static Membership members(int vms) {
+        return members(0, vms);
+    }
+
+    /** Describes the entry VMs of which one is this one. */
+    static Membership members(int own, int vms) {
+        Set<PeerEndpoint> others = new HashSet<>();
+        for (int vm = 0; vm < vms; vm++) {
+            if (vm != own) {
+                others.add(new PeerEndpoint("10.0.0." + vm, 1));
+            }
+        }
+        return new Membership(new PeerEndpoint("10.0.0." + own, 1), others, vms, true);
+    }
+
     static ServerEntry server(String id, ServiceName service, boolean draining) {
         return new ServerEntry(
                 new BackendServerId(id),
--- a/router/src/test/java/org/magnoliaseam/gateway/PlacementTest.java
+++ b/router/src/test/java/org/magnoliaseam/gateway/PlacementTest.java
@@ -70,7 +70,7 @@
             mPlacement.arrived(request, 0);
             ServerState home = choose(mPlacement, request);
             ServerLoad load = new ServerLoad(home.id(), 40, 100_000);
-            Digest digest = new Digest(1, 1, List.of(), List.of(load), List.of(), List.of());
+            Digest digest = new Digest(1, 1, 1, List.of(), List.of(load), List.of(), List.of());
             mForeign.heard(new PeerEndpoint("127.0.0.1", 1), digest, 0);
             assertThat(choose(mPlacement, request)).isNotSameAs(home);
             mForeign.expire(1000 * MILLI);
@@ -107,7 +107,7 @@
             Set<BackendServerId> strict = used(200, 500);
             for (ServerState engine : mEngines) {
                 if (!strict.contains(engine.id())) {
-                    engine.start(stream("x", 800, 90_000), 5, 0);
+                    engine.start(stream("x", 800, 90_000), new VmShares(), 0);
                 }
             }
             assertThat(strict).doesNotContain(choose(mPlacement, stream("new", 800, 5000)).id());
@@ -129,6 +129,7 @@
         @Test
         void aNewProcessMayRetryWithinItsShareOfTheSlack() {
             ServerBoard board = new ServerBoard(HERE, () -> new RetryLimits(0.1, 20), () -> 1);
+            board.members(GatewayFixtures.members(8));
             GatewayRequest request =
                     request("r", route(RequestKind.REPEATABLE, 2, false, 0), Prompt.NONE);
             int retries = 0;
@@ -154,7 +155,7 @@
             mBoard.withdrawn(new BackendServerId("desk"));
             assertThat(mBoard.size()).isEqualTo(1);
             mNow.set(3000 * MILLI);
-            mBoard.vms(4);
+            mBoard.members(GatewayFixtures.members(4));
             assertThat(mBoard.size()).isZero();
         }
 
@@ -165,7 +166,7 @@
             mBoard.withdrawn(new BackendServerId("desk"));
             mBoard.published(server("desk", DESK, false));
             mNow.set(3000 * MILLI);
-            mBoard.vms(4);
+            mBoard.members(GatewayFixtures.members(4));
             assertThat(mBoard.size()).isEqualTo(1);
         }
 
@@ -200,7 +201,7 @@
             double perSecond = 13;
             int sent = 0;
             for (int vm = 0; vm < vms; vm++) {
-                ColdAllowance allowance = new ColdAllowance();
+                ColdAllowance allowance = new ColdAllowance(0);
                 for (long t = 0; t < 1000; t++) {
                     if (allowance.take(perSecond / vms, (5000 + t) * MILLI)) {
                         sent++;
--- a/router/src/test/java/org/magnoliaseam/gossip/GossipTest.java
+++ b/router/src/test/java/org/magnoliaseam/gossip/GossipTest.java
@@ -29,12 +29,18 @@
         return new Digest(
                 7,
                 8,
+                6,
                 List.of(SEED),
                 List.of(new ServerLoad(new BackendServerId("s"), 3, 4000)),
                 List.of(new Demand(new ServiceName("x"), 200, 1.5)),
                 List.of(new PartRead(new BackendServerId("s"), "p", 9)));
     }
 
+    /** Describes a digest of a peer that has heard a number of entry VMs and names some. */
+    private static Digest told(int vms, PeerEndpoint... named) {
+        return new Digest(7, 8, vms, List.of(named), List.of(), List.of(), List.of());
+    }
+
     @Test
     void digestSurvivesTheWire() throws IOException {
         byte[] bytes = DigestCodec.encode(digest());
@@ -55,30 +61,47 @@
     @Nested
     class Directory {
         private final PeerDirectory mPeers =
-                new PeerDirectory(OWN, List.of(OWN, SEED), new Random(1));
+                new PeerDirectory(OWN, List.of(OWN, SEED), new Random(1), 0);
 
         @Test
         void peersOfPeersAreTriedForAWhile() {
-            mPeers.heard(SEED, List.of(OWN, OTHER), 0);
+            mPeers.heard(SEED, told(1, OWN, OTHER), 0);
             assertThat(mPeers.unheard(SECOND)).containsExactly(OTHER);
             assertThat(mPeers.unheard(6 * SECOND)).containsExactly(SEED);
         }
 
         @Test
         void silentPeerStillCountsForLimits() {
-            mPeers.heard(SEED, List.of(), 0);
-            mPeers.heard(OTHER, List.of(), 0);
-            mPeers.heard(new PeerEndpoint("10.0.0.4", 1), List.of(), 0);
+            mPeers.heard(SEED, told(1), 0);
+            mPeers.heard(OTHER, told(1), 0);
+            mPeers.heard(new PeerEndpoint("10.0.0.4", 1), told(1), 0);
             assertThat(mPeers.live(3 * SECOND)).isEmpty();
-            assertThat(mPeers.mayLive(3 * SECOND)).isEqualTo(4);
-            assertThat(mPeers.mayLive(60 * SECOND)).isEqualTo(3);
+            assertThat(mPeers.mayLive(3 * SECOND).vms()).isEqualTo(4);
+            assertThat(mPeers.mayLive(60 * SECOND).vms()).isEqualTo(3);
+        }
+
+        @Test
+        void aNewProcessCountsWhatAPeerHasHeard() {
+            assertThat(mPeers.mayLive(0).vms()).isEqualTo(32);
+            mPeers.heard(SEED, told(30), SECOND);
+            assertThat(mPeers.mayLive(SECOND).settled()).isFalse();
+            assertThat(mPeers.mayLive(2 * SECOND).settled()).isTrue();
+            assertThat(mPeers.mayLive(2 * SECOND).vms()).isEqualTo(30);
+            assertThat(mPeers.heardLately(2 * SECOND)).isEqualTo(2);
+        }
+
+        @Test
+        void aProcessThatHearsNobodyIsAloneAfterAWhile() {
+            assertThat(mPeers.mayLive(SECOND).settled()).isFalse();
+            assertThat(mPeers.mayLive(4 * SECOND).settled()).isTrue();
+            assertThat(mPeers.mayLive(4 * SECOND).vms()).isEqualTo(3);
         }
 
         @Test
         void returnOfALostPeerIsNoticed() {
-            assertThat(mPeers.heard(SEED, List.of(), 0)).isTrue();
-            assertThat(mPeers.heard(SEED, List.of(), SECOND)).isFalse();
-            assertThat(mPeers.heard(SEED, List.of(), 5 * SECOND)).isTrue();
+            assertThat(mPeers.heard(SEED, told(1), 0)).isTrue();
+            assertThat(mPeers.heard(SEED, told(1), SECOND)).isFalse();
+            assertThat(mPeers.heard(SEED, told(1), 5 * SECOND)).isTrue();
         }
     }
 }
