Let streams that are broken off before an announced close look incomplete

Change: streams are always sent in chunks. Before: CallerAnswerTest 2 of 3 red; after: 3 of 3 green.

--- a/router/src/main/java/org/magnoliaseam/platform/CallerAnswer.java
+++ b/router/src/main/java/org/magnoliaseam/platform/CallerAnswer.java
@@ -90,6 +90,7 @@
 
     @Override
     public CompletableFuture<Void> write(ByteBuffer bytes) {
+        frame();
         Callback.Completable completable = new Callback.Completable();
         mResponse.write(false, bytes, completable);
         return completable;
@@ -136,6 +137,16 @@
         }
     }
 
+    /**
+     * Lets the answer end with its last chunk. Before a close that was announced, an answer of
+     * unknown length would otherwise end with its connection, and look whole when broken off.
+     */
+    private void frame() {
+        if (!mResponse.isCommitted()) {
+            mResponse.getHeaders().put(HttpHeader.TRANSFER_ENCODING, "chunked");
+        }
+    }
+
     /**
      * Marks the exchange as ended.
      *
--- /dev/null
+++ b/router/src/test/java/org/magnoliaseam/platform/CallerAnswerTest.java
@@ -0,0 +1,116 @@
+package org.magnoliaseam.platform;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.Socket;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.function.Consumer;
+import org.eclipse.jetty.server.Handler;
+import org.eclipse.jetty.server.Request;
+import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.server.Server;
+import org.eclipse.jetty.server.ServerConnector;
+import org.eclipse.jetty.util.Callback;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.magnoliaseam.exchange.AnswerHead;
+import org.magnoliaseam.exchange.Header;
+import org.magnoliaseam.model.RequestId;
+
+/** Tests what callers see of answers on their sockets. */
+class CallerAnswerTest {
+
+    private static final int TIMEOUT_MILLIS = 5000;
+
+    private static final String EVENT = "id: 1\ndata: 1\n\n";
+
+    private final Server mServer = new Server();
+
+    @AfterEach
+    void stop() throws Exception {
+        mServer.stop();
+    }
+
+    /** Returns all bytes of an answer up to the end of its connection, which is announced. */
+    private String answer(Consumer<CallerAnswer> behaviour) throws Exception {
+        ServerConnector connector = new ServerConnector(mServer);
+        connector.setHost("127.0.0.1");
+        mServer.addConnector(connector);
+        mServer.setHandler(
+                new Handler.Abstract() {
+                    @Override
+                    public boolean handle(Request request, Response response, Callback callback) {
+                        response.getHeaders().put("Connection", "close");
+                        behaviour.accept(new CallerAnswer(response, callback, new RequestId("r1")));
+                        return true;
+                    }
+                });
+        mServer.start();
+        InetAddress host = InetAddress.getByName("127.0.0.1");
+        try (Socket socket = new Socket(host, connector.getLocalPort())) {
+            socket.setSoTimeout(TIMEOUT_MILLIS);
+            String request = "POST /p HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n";
+            socket.getOutputStream().write(request.getBytes(StandardCharsets.US_ASCII));
+            return readAll(socket);
+        }
+    }
+
+    /** Reads up to the end or a reset, which both end an answer. */
+    private static String readAll(Socket socket) {
+        StringBuilder text = new StringBuilder();
+        byte[] buffer = new byte[4096];
+        try {
+            int count = socket.getInputStream().read(buffer);
+            while (count >= 0) {
+                text.append(new String(buffer, 0, count, StandardCharsets.UTF_8));
+                count = socket.getInputStream().read(buffer);
+            }
+        } catch (IOException e) {
+            return text.toString();
+        }
+        return text.toString();
+    }
+
+    private static void begin(CallerAnswer answer) {
+        answer.head(new AnswerHead(200, List.of(new Header("Content-Type", "text/event-stream"))));
+        answer.write(ByteBuffer.wrap(EVENT.getBytes(StandardCharsets.UTF_8))).join();
+    }
+
+    @Test
+    void streamThatIsBrokenOffBeforeAnAnnouncedCloseDoesNotLookComplete() throws Exception {
+        String seen =
+                answer(
+                        answer -> {
+                            begin(answer);
+                            answer.breakOff();
+                        });
+        assertThat(seen).contains("Transfer-Encoding: chunked").contains(EVENT);
+        assertThat(seen).doesNotContain("0\r\n\r\n");
+    }
+
+    @Test
+    void wholeStreamBeforeAnAnnouncedCloseLooksComplete() throws Exception {
+        String seen =
+                answer(
+                        answer -> {
+                            begin(answer);
+                            answer.end();
+                        });
+        assertThat(seen).contains("Transfer-Encoding: chunked").endsWith("0\r\n\r\n");
+    }
+
+    @Test
+    void wholeBodyHasALength() throws Exception {
+        String seen =
+                answer(
+                        answer -> {
+                            answer.head(new AnswerHead(200, List.of()));
+                            answer.endWith(ByteBuffer.wrap(new byte[] {'o', 'k'}));
+                        });
+        assertThat(seen).contains("Content-Length: 2").endsWith("\r\n\r\nok");
+    }
+}
