Send a request once if a tick comes before its first try

Gateway.submit lists the call before it begins; a tick between the two placed it, and the beginning placed it again. Ruled out: a repeat by the caller (one line in the log, two sends 0.4 ms apart). Change: a tick leaves a call alone that has not begun. Before: GatewayCallTest.isSentOnceIfATickComesBeforeItsBeginning red; after: 14 of 14 green.

--- a/router/src/main/java/org/magnoliaseam/gateway/GatewayCall.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/GatewayCall.java
@@ -69,6 +69,9 @@
     /** Why the request waits. */
     private ErrorKind mWaitKind = ErrorKind.OVERLOADED;
 
+    /** Whether the first try has been asked for. */
+    private boolean mBegun;
+
     /** Whether the request has ended. */
     private boolean mEnded;
 
@@ -114,13 +117,14 @@
 
     /** Starts the first try. */
     synchronized void begin() {
+        mBegun = true;
         mParts.board().firstTry(mRequest);
         place();
     }
 
     /** Ends the request at its deadline, gives up a silent try, or places a waiting request. */
     synchronized void tick() {
-        if (mEnded) {
+        if (mEnded || !mBegun) {
             return;
         }
         long now = mParts.clock().nanos();
--- a/router/src/test/java/org/magnoliaseam/gateway/GatewayCallTest.java
+++ b/router/src/test/java/org/magnoliaseam/gateway/GatewayCallTest.java
@@ -41,10 +41,10 @@
     private final ServerBoard mBoard =
             new ServerBoard(HERE, () -> GatewayFixtures.RETRIES, mNow::get);
 
-    private final Gateway mGateway =
-            new Gateway(
-                    new GatewayParts(
-                            mBoard, mPort, new RequestLog(new MetricRegistry()), mNow::get));
+    private final GatewayParts mGatewayParts =
+            new GatewayParts(mBoard, mPort, new RequestLog(new MetricRegistry()), mNow::get);
+
+    private final Gateway mGateway = new Gateway(mGatewayParts);
 
     /** Keeps the tries that were started. */
     private static final class RecordingPort implements TryPort {
@@ -153,6 +153,19 @@
             assertThat(mSink.mRefusal.kind().executed()).isNotEqualTo(Executed.NO);
         }
 
+        @Test
+        void isSentOnceIfATickComesBeforeItsBeginning() {
+            GatewayCall call =
+                    new GatewayCall(
+                            request("r1", route(RequestKind.ONCE, 1, false, 0), Prompt.NONE),
+                            mSink,
+                            mGatewayParts,
+                            ended -> {});
+            call.tick();
+            call.begin();
+            assertThat(mPort.mOrders).hasSize(1);
+        }
+
         @Test
         void isSentAgainWhenNothingWasSent() {
             submit(RequestKind.ONCE, 1, false);
