Call the client for backend servers without the lock of a request

A request held its lock while it started a try; the HTTP client began another queued request of the same server on that thread and asked that one, whose lock a second thread held the other way round. The timer thread then waited for ever: no deadlines, no gossip, requests held for good. Ruled out: a dead timer task (the dump shows it blocked), Jetty's server side (it dispatches). Change: DeferredActions runs starting and stopping of tries after the lock; TryHistory split off GatewayCall.

--- a/router/src/main/java/org/magnoliaseam/gateway/GatewayCall.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/GatewayCall.java
@@ -1,35 +1,27 @@
 package org.magnoliaseam.gateway;
 
 import java.nio.ByteBuffer;
-import java.util.HashSet;
-import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Consumer;
 import org.magnoliaseam.backend.BackendFailure;
 import org.magnoliaseam.error.ErrorKind;
 import org.magnoliaseam.error.Executed;
 import org.magnoliaseam.error.Refusal;
 import org.magnoliaseam.exchange.AnswerHead;
-import org.magnoliaseam.model.BackendServerId;
 
 /** Serves one request: one try after another until a whole answer, a refusal or the deadline. */
 final class GatewayCall {
 
-    /** The sends that a request may need beyond the tries that may have run. */
-    private static final int EXTRA_SENDS = 2;
-
     /** The share of the target that a request waits for a place before it is refused. */
     private static final double WAIT_SHARE = 0.5;
 
-    /** The share of the remaining time after which a refused caller may come back. */
-    private static final double COME_BACK_SHARE = 0.2;
-
-    /** The shortest and the usual delay before a refused caller may come back in milliseconds. */
-    private static final long COME_BACK_MILLIS = 100;
-
     /** The nanoseconds of a millisecond. */
     private static final long NANOS_PER_MILLI = 1_000_000;
 
+    /** The lock of the request, and what decisions ask for beyond it. */
+    private final DeferredActions mActions = new DeferredActions();
+
     /** The request. */
     private final GatewayRequest mRequest;
 
@@ -45,18 +37,12 @@
     /** The account of the request. */
     private final RequestRecord mRecord;
 
-    /** The backend servers that the request has met. */
-    private final Set<BackendServerId> mMet = new HashSet<>();
+    /** The tries so far. */
+    private final TryHistory mTries = new TryHistory();
 
     /** The try in progress; null if there is none. */
     private GatewayTry mTry;
 
-    /** The tries that were sent. */
-    private int mSends;
-
-    /** The tries that may have run. */
-    private int mRuns;
-
     /** Whether the head of the answer has been passed on. */
     private boolean mOpened;
 
@@ -111,19 +97,27 @@
      *
      * @param nanos the time in nanoseconds
      */
-    synchronized void paused(long nanos) {
-        mRecord.paused(nanos);
+    void paused(long nanos) {
+        mActions.decide(() -> mRecord.paused(nanos));
     }
 
     /** Starts the first try. */
-    synchronized void begin() {
-        mBegun = true;
-        mParts.board().firstTry(mRequest);
-        place();
+    void begin() {
+        mActions.decide(
+                () -> {
+                    mBegun = true;
+                    mParts.board().firstTry(mRequest);
+                    place();
+                });
     }
 
     /** Ends the request at its deadline, gives up a silent try, or places a waiting request. */
-    synchronized void tick() {
+    void tick() {
+        mActions.decide(this::look);
+    }
+
+    /** Decides at a tick. */
+    private void look() {
         if (mEnded || !mBegun) {
             return;
         }
@@ -132,22 +126,30 @@
             expire();
         } else if (mTry == null) {
             place();
-        } else if (mTry.silent(now) && mRequest.route().idempotent() && mayTryAgain()) {
+        } else if (mTry.silent(now)
+                && mRequest.route().idempotent()
+                && mTries.mayTryAgain(mRequest.route())) {
             mRecord.add(StepKind.SILENT, mTry.server().id().value(), "", now);
-            mTry.giveUp();
+            mActions.add(mTry::giveUp);
         }
     }
 
     /** Stops the request because its caller is gone. */
-    synchronized void callerGone() {
-        if (mEnded) {
-            return;
-        }
-        GatewayTry running = mTry;
-        mRecord.add(StepKind.CALLER_GONE, "", "", mParts.clock().nanos());
-        end("caller_gone");
-        if (running != null) {
-            running.giveUp();
+    void callerGone() {
+        mActions.decide(
+                () -> {
+                    if (!mEnded) {
+                        mRecord.add(StepKind.CALLER_GONE, "", "", now());
+                        giveUpRunning();
+                        end("caller_gone");
+                    }
+                });
+    }
+
+    /** Gives up the try in progress if there is one. */
+    private void giveUpRunning() {
+        if (mTry != null) {
+            mActions.add(mTry::giveUp);
         }
     }
 
@@ -157,8 +159,10 @@
      * @param sent the try
      * @return true if it may
      */
-    synchronized boolean sending(GatewayTry sent) {
-        return !mEnded && sent == mTry && mParts.board().confirm(sent.order());
+    boolean sending(GatewayTry sent) {
+        synchronized (mActions) {
+            return !mEnded && sent == mTry && mParts.board().confirm(sent.order());
+        }
     }
 
     /**
@@ -168,16 +172,30 @@
      * @param head status and header fields
      * @param body the body
      */
-    synchronized void answered(GatewayTry from, AnswerHead head, byte[] body) {
+    void answered(GatewayTry from, AnswerHead head, byte[] body) {
+        mActions.decide(() -> take(from, head, body));
+    }
+
+    /**
+     * Decides about a whole answer.
+     *
+     * @param from the try
+     * @param head status and header fields
+     * @param body the body
+     */
+    private void take(GatewayTry from, AnswerHead head, byte[] body) {
         if (mEnded || from != mTry) {
             return;
         }
         boolean serverError = head.status() >= 500;
-        mRuns++;
+        mTries.mayHaveRun();
         mRecord.add(
                 StepKind.ANSWERED, from.server().id().value(), "status=" + head.status(), now());
-        if (serverError && mRequest.route().idempotent() && mayTryAgain() && retry()) {
-            mMet.add(from.server().id());
+        if (serverError
+                && mRequest.route().idempotent()
+                && mTries.mayTryAgain(mRequest.route())
+                && retry()) {
+            mTries.met(from.server().id());
             mTry = null;
             place();
             return;
@@ -197,7 +215,23 @@
      * @param lastId the id of the last of them
      * @return completes when the caller has room for more
      */
-    synchronized CompletableFuture<Void> events(
+    CompletableFuture<Void> events(
+            GatewayTry from, AnswerHead head, ByteBuffer events, String lastId) {
+        AtomicReference<CompletableFuture<Void>> written = new AtomicReference<>();
+        mActions.decide(() -> written.set(pass(from, head, events, lastId)));
+        return written.get();
+    }
+
+    /**
+     * Decides about events of a stream.
+     *
+     * @param from the try
+     * @param head status and header fields
+     * @param events the bytes of whole events
+     * @param lastId the id of the last of them
+     * @return completes when the caller has room for more
+     */
+    private CompletableFuture<Void> pass(
             GatewayTry from, AnswerHead head, ByteBuffer events, String lastId) {
         if (mEnded || from != mTry) {
             return CompletableFuture.failedFuture(new IllegalStateException("not the current try"));
@@ -224,16 +258,19 @@
      * @param from the try
      * @param head status and header fields
      */
-    synchronized void streamEnded(GatewayTry from, AnswerHead head) {
-        if (mEnded || from != mTry) {
-            return;
-        }
-        mTry = null;
-        if (!mOpened) {
-            mSink.head(head);
-        }
-        mSink.end();
-        end("completed");
+    void streamEnded(GatewayTry from, AnswerHead head) {
+        mActions.decide(
+                () -> {
+                    if (mEnded || from != mTry) {
+                        return;
+                    }
+                    mTry = null;
+                    if (!mOpened) {
+                        mSink.head(head);
+                    }
+                    mSink.end();
+                    end("completed");
+                });
     }
 
     /**
@@ -243,22 +280,33 @@
      * @param failure the kind of failure
      * @param detail one sentence for the account
      */
-    synchronized void failed(GatewayTry failed, BackendFailure failure, String detail) {
+    void failed(GatewayTry failed, BackendFailure failure, String detail) {
+        mActions.decide(() -> takeFailure(failed, failure, detail));
+    }
+
+    /**
+     * Decides about the failure of a try.
+     *
+     * @param failed the try
+     * @param failure the kind of failure
+     * @param detail one sentence for the account
+     */
+    private void takeFailure(GatewayTry failed, BackendFailure failure, String detail) {
         if (mEnded || failed != mTry) {
             return;
         }
         mTry = null;
         mRecord.add(StepKind.valueOf(failure.name()), failed.server().id().value(), detail, now());
         if (failure != BackendFailure.HELD_BACK) {
-            mMet.add(failed.server().id());
+            mTries.met(failed.server().id());
         }
         if (failure.mayHaveRun()) {
-            mRuns++;
+            mTries.mayHaveRun();
         }
         if (failure.mayHaveRun() && !mRequest.route().idempotent()) {
             fail(failure.errorKind());
-        } else if (!mayTryAgain() || !retry()) {
-            fail(mRuns > 0 ? failure.errorKind() : ErrorKind.BACKEND_REFUSED);
+        } else if (!mTries.mayTryAgain(mRequest.route()) || !retry()) {
+            fail(mTries.ran() ? failure.errorKind() : ErrorKind.BACKEND_REFUSED);
         } else {
             mWaitingSinceNanos = now();
             place();
@@ -267,41 +315,27 @@
 
     /** Places the request on a backend server, or lets it wait. */
     private void place() {
-        Choice choice = mParts.board().choose(mRequest, mMet);
+        Choice choice = mParts.board().choose(mRequest, mTries.met());
         if (choice instanceof Choice.Start start) {
-            mSends++;
+            mTries.sent();
             mRecord.add(StepKind.SENT, start.server().id().value(), start.reason(), now());
-            mTry = new GatewayTry(this, start, mParts, tryOrder(start));
-            mTry.start();
+            TryOrder order =
+                    new TryOrder(
+                            mRequest,
+                            start.server().entry(),
+                            mRequest.deadlineNanos(),
+                            mLastEventId);
+            mTry = new GatewayTry(this, start, mParts, order);
+            mActions.add(mTry::start);
             return;
         }
         mWaitKind = ((Choice.Wait) choice).kind();
-        if (waited() >= WAIT_SHARE * mRequest.route().targetMillis()) {
+        double waitedMillis = (now() - mWaitingSinceNanos) / (double) NANOS_PER_MILLI;
+        if (waitedMillis >= WAIT_SHARE * mRequest.route().targetMillis()) {
             fail(mWaitKind);
         }
     }
 
-    /**
-     * Describes the next try.
-     *
-     * @param start the choice
-     * @return the try
-     */
-    private TryOrder tryOrder(Choice.Start start) {
-        return new TryOrder(
-                mRequest, start.server().entry(), mRequest.deadlineNanos(), mLastEventId);
-    }
-
-    /**
-     * Tells whether the request may be sent once more.
-     *
-     * @return true while tries are left
-     */
-    private boolean mayTryAgain() {
-        return mRuns < mRequest.route().maxTries()
-                && mSends < mRequest.route().maxTries() + EXTRA_SENDS;
-    }
-
     /**
      * Takes one more try out of the retry budget.
      *
@@ -317,14 +351,11 @@
 
     /** Ends the request at its deadline. */
     private void expire() {
-        GatewayTry running = mTry;
-        if (running != null) {
-            mRuns++;
-        }
-        fail(mRuns > 0 ? ErrorKind.BACKEND_TIMEOUT : mWaitKind);
-        if (running != null) {
-            running.giveUp();
+        if (mTry != null) {
+            mTries.mayHaveRun();
         }
+        giveUpRunning();
+        fail(mTries.ran() ? ErrorKind.BACKEND_TIMEOUT : mWaitKind);
     }
 
     /**
@@ -333,27 +364,16 @@
      * @param kind the kind of the refusal
      */
     private void fail(ErrorKind kind) {
-        boolean ran = mRuns > 0;
+        boolean ran = mTries.ran();
         ErrorKind told = ran && kind.executed() == Executed.NO ? ErrorKind.BACKEND_FAILED : kind;
         if (mOpened) {
             mSink.breakOff();
         } else {
-            long left = (mRequest.deadlineNanos() - now()) / NANOS_PER_MILLI;
-            long delay = Math.min(COME_BACK_MILLIS, (long) (left * COME_BACK_SHARE));
-            mSink.refuse(Refusal.of(told), ran ? 0 : Math.max(0, delay));
+            mSink.refuse(Refusal.of(told), ran ? 0 : mRequest.comeBackMillis(now()));
         }
         end((mOpened ? "broken_off_" : "refused_") + told.text());
     }
 
-    /**
-     * Returns the time that the request has waited for a place.
-     *
-     * @return the time in milliseconds
-     */
-    private double waited() {
-        return (now() - mWaitingSinceNanos) / (double) NANOS_PER_MILLI;
-    }
-
     /**
      * Returns the present moment.
      *
--- a/router/src/main/java/org/magnoliaseam/gateway/GatewayRequest.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/GatewayRequest.java
@@ -43,6 +43,15 @@
     /** The ranks of routes that are told apart within the rank of an account. */
     private static final int ROUTE_RANKS = 3;
 
+    /** The share of the remaining time after which a refused caller may come back. */
+    private static final double COME_BACK_SHARE = 0.2;
+
+    /** The longest delay before a refused caller may come back, in milliseconds. */
+    private static final long COME_BACK_MILLIS = 100;
+
+    /** The nanoseconds of a millisecond. */
+    private static final long NANOS_PER_MILLI = 1_000_000;
+
     /**
      * Returns the rank of the request, 0 first: the rank of the account goes before the rank of the
      * route.
@@ -54,4 +63,15 @@
         int accountRank = account.map(found -> found.priority().orElse(0)).orElse(0);
         return accountRank * ROUTE_RANKS + own;
     }
+
+    /**
+     * Returns the delay after which a refused caller may come back.
+     *
+     * @param nowNanos the local monotonic time
+     * @return the delay in milliseconds; 0 if no time is left
+     */
+    long comeBackMillis(long nowNanos) {
+        long left = (deadlineNanos - nowNanos) / NANOS_PER_MILLI;
+        return Math.max(0, Math.min(COME_BACK_MILLIS, (long) (left * COME_BACK_SHARE)));
+    }
 }
--- a/router/src/test/java/org/magnoliaseam/gateway/GatewayCallTest.java
+++ b/router/src/test/java/org/magnoliaseam/gateway/GatewayCallTest.java
@@ -16,12 +16,16 @@
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.AtomicLong;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.magnoliaseam.backend.BackendFailure;
 import org.magnoliaseam.catalog.RequestKind;
+import org.magnoliaseam.catalog.Route;
 import org.magnoliaseam.error.ErrorKind;
 import org.magnoliaseam.error.Executed;
 import org.magnoliaseam.error.Refusal;
@@ -141,6 +145,43 @@
         mPort.last().content(ByteBuffer.wrap(text.getBytes(StandardCharsets.UTF_8)));
     }
 
+    /** Tests that calls of the port cannot deadlock with other requests. */
+    @Nested
+    class Locks {
+        private static final long SECONDS = 2;
+
+        /** Asks from another thread, as the client does when it begins another request. */
+        private static boolean answers(Runnable question) {
+            try {
+                CompletableFuture.runAsync(question).get(SECONDS, TimeUnit.SECONDS);
+                return true;
+            } catch (ExecutionException | TimeoutException | InterruptedException e) {
+                return false;
+            }
+        }
+
+        @Test
+        void triesAreStartedAndStoppedWithoutTheLockOfTheRequest() {
+            List<Boolean> free = new ArrayList<>();
+            TryPort port =
+                    (order, listener) -> {
+                        free.add(answers(listener::sending));
+                        return () -> free.add(answers(listener::sending));
+                    };
+            Gateway gateway =
+                    new Gateway(
+                            new GatewayParts(
+                                    mBoard, port, new RequestLog(new MetricRegistry()), mNow::get));
+            Route route = route(RequestKind.REPEATABLE, 2, false, 0);
+            gateway.submit(request("r1", route, Prompt.NONE), mSink);
+            mNow.set(1300 * MILLI);
+            gateway.tick();
+            mNow.set(5001 * MILLI);
+            gateway.tick();
+            assertThat(free).hasSizeGreaterThan(1).doesNotContain(false);
+        }
+    }
+
     /** Tests requests that may run once at most. */
     @Nested
     class RunOnce {
