Spend fewer digests, ticks and store calls on a large site, and bring the soak

Ruled out: the program's own idle work (2 s of processor time a process in 41 s). Change: above 7 peers a digest goes out each 300 ms, to the peers in turn, and what a peer told counts 2.5 gaps; ticks each 20 ms; the watch of the store waits 3.5 s and gathers changes for 150 ms; no PerfData; HUP is handled before the start.

--- a/deploy/archive.sh
+++ b/deploy/archive.sh
@@ -16,7 +16,7 @@
 store-address = "127.0.0.1:$((port + 1))"
 stop-grace = "1 s"
 END
-java -XX:ArchiveClassesAtExit="$archive" -XX:+UseSerialGC -XX:TieredStopAtLevel=1 \
+java -XX:ArchiveClassesAtExit="$archive" -XX:-UsePerfData -XX:+UseSerialGC -XX:TieredStopAtLevel=1 \
     -jar "$jar" route --publisher store --settings "$settings" > router/target/archive.log 2>&1 &
 pid=$!
 for _ in $(seq 100); do
--- a/router/src/main/java/org/magnoliaseam/gateway/ForeignLoads.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/ForeignLoads.java
@@ -14,8 +14,14 @@
 /** Adds up what the other entry VMs have running at backend servers. Not thread-safe. */
 final class ForeignLoads {
 
-    /** The age after which what a peer told no longer counts, in nanoseconds. */
-    private static final long VALID_NANOS = 700_000_000L;
+    /** The least age after which what a peer told no longer counts, in nanoseconds. */
+    private static final long MIN_VALID_NANOS = 700_000_000L;
+
+    /** The largest age after which what a peer told no longer counts, in nanoseconds. */
+    private static final long MAX_VALID_NANOS = 4_000_000_000L;
+
+    /** The digests that may be missed before what a peer told no longer counts. */
+    private static final double VALID_GAPS = 2.5;
 
     /** What each peer told last. */
     private final Map<PeerEndpoint, Told> mTold = new HashMap<>();
@@ -28,8 +34,9 @@
      *
      * @param digest what it told
      * @param nanos the local monotonic time
+     * @param validNanos the age after which it no longer counts
      */
-    private record Told(Digest digest, long nanos) {}
+    private record Told(Digest digest, long nanos, long validNanos) {}
 
     /** Holds the load that all peers put on one backend server. */
     private static final class Sum {
@@ -49,10 +56,14 @@
      * @param nowNanos the local monotonic time
      */
     void heard(PeerEndpoint peer, Digest digest, long nowNanos) {
-        Told before = mTold.put(peer, new Told(digest, nowNanos));
+        Told before = mTold.remove(peer);
+        long valid = MIN_VALID_NANOS;
         if (before != null) {
             add(before.digest().loads(), -1);
+            long gaps = (long) (VALID_GAPS * (nowNanos - before.nanos()));
+            valid = Math.max(MIN_VALID_NANOS, Math.min(MAX_VALID_NANOS, gaps));
         }
+        mTold.put(peer, new Told(digest, nowNanos, valid));
         add(digest.loads(), 1);
     }
 
@@ -65,7 +76,7 @@
         Iterator<Told> all = mTold.values().iterator();
         while (all.hasNext()) {
             Told told = all.next();
-            if (nowNanos - told.nanos() > VALID_NANOS) {
+            if (nowNanos - told.nanos() > told.validNanos()) {
                 add(told.digest().loads(), -1);
                 all.remove();
             }
--- a/router/src/main/java/org/magnoliaseam/gateway/RecentReads.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/RecentReads.java
@@ -13,14 +13,11 @@
  */
 final class RecentReads {
 
-    /** The digests that name each part, since some digests get lost. */
-    private static final int REPEATS = 3;
-
     /** The most parts in a digest. */
     private static final int MAX_PARTS = 200;
 
-    /** The digests that are still to name each part. */
-    private final Map<PartRead, Integer> mLeft = new LinkedHashMap<>();
+    /** The digests that have named each part. */
+    private final Map<PartRead, Integer> mNamed = new LinkedHashMap<>();
 
     /**
      * Notes that a prompt was sent.
@@ -30,34 +27,25 @@
      */
     void sent(BackendServerId server, Prompt prompt) {
         for (PromptPart part : prompt.sharedParts()) {
-            mLeft.put(new PartRead(server, part.id(), part.tokens()), REPEATS);
+            mNamed.put(new PartRead(server, part.id(), part.tokens()), 0);
         }
     }
 
     /**
      * Returns the parts for the next digest.
      *
+     * @param digests the digests in which each part is to be named
      * @return the parts
      */
-    List<PartRead> next() {
+    List<PartRead> next(int digests) {
+        mNamed.values().removeIf(named -> named >= digests);
         List<PartRead> parts = new ArrayList<>();
-        for (PartRead part : mLeft.keySet()) {
+        for (PartRead part : mNamed.keySet()) {
             if (parts.size() < MAX_PARTS) {
                 parts.add(part);
             }
         }
-        parts.forEach(part -> mLeft.computeIfPresent(part, RecentReads::named));
+        parts.forEach(part -> mNamed.merge(part, 1, Integer::sum));
         return parts;
     }
-
-    /**
-     * Counts that a part was named.
-     *
-     * @param part the part
-     * @param left the digests that were still to name it
-     * @return the digests that are left; null if there are none
-     */
-    private static Integer named(PartRead part, int left) {
-        return left > 1 ? left - 1 : null;
-    }
 }
--- a/router/src/main/java/org/magnoliaseam/gateway/ServerBoard.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/ServerBoard.java
@@ -185,8 +185,8 @@
     }
 
     @Override
-    public synchronized List<PartRead> reads() {
-        return mReads.next();
+    public synchronized List<PartRead> reads(int digests) {
+        return mReads.next(digests);
     }
 
     @Override
--- a/router/src/main/java/org/magnoliaseam/gossip/GossipListener.java
+++ b/router/src/main/java/org/magnoliaseam/gossip/GossipListener.java
@@ -22,9 +22,10 @@
     /**
      * Returns the prompt parts that this entry VM sent to backend servers lately.
      *
-     * @return the parts; each is told several times, since digests get lost
+     * @param digests the digests in which each part is to be named
+     * @return the parts
      */
-    List<PartRead> reads();
+    List<PartRead> reads(int digests);
 
     /**
      * Takes what a peer tells.
--- a/router/src/main/java/org/magnoliaseam/gossip/GossipNode.java
+++ b/router/src/main/java/org/magnoliaseam/gossip/GossipNode.java
@@ -4,8 +4,6 @@
 import java.net.DatagramPacket;
 import java.net.DatagramSocket;
 import java.net.InetSocketAddress;
-import java.util.ArrayList;
-import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -25,9 +23,15 @@
     /** The digests between two tries of addresses from which nothing is heard. */
     private static final int TRY_EVERY = 10;
 
-    /** The peers that get each digest; more are told in turn. */
+    /** The peers that get each digest; more are told in turn, less often. */
     private static final int FAN_OUT = 7;
 
+    /** The intervals between two digests where not all peers get each. */
+    private static final int LARGE_SITE_INTERVALS = 3;
+
+    /** The digests in which a fact reaches a peer at least, since some get lost. */
+    private static final int REPEATS = 3;
+
     /** The peers named in a digest. */
     private static final int NAMED_PEERS = 12;
 
@@ -58,6 +62,9 @@
     /** The number of the last digest. */
     private long mSequence;
 
+    /** The intervals since the start. */
+    private long mIntervals;
+
     /** The socket; null before the start. */
     private DatagramSocket mSocket;
 
@@ -109,36 +116,50 @@
         }
     }
 
-    /** Sends a digest to some peers. */
+    /** Looks at the peers and sends a digest if it is time. */
     private void send() {
         try {
             long now = mClock.nanos();
             mListener.members(mPeers.mayLive(now));
-            List<PeerEndpoint> live = mPeers.live(now);
-            List<PeerEndpoint> named = live.subList(0, Math.min(NAMED_PEERS, live.size()));
-            Digest digest =
-                    new Digest(
-                            mIncarnation,
-                            ++mSequence,
-                            mPeers.heardLately(now),
-                            named,
-                            mListener.loads(),
-                            mListener.demands(),
-                            mListener.reads());
-            byte[] bytes = DigestCodec.encode(digest);
-            Collection<PeerEndpoint> targets =
-                    new ArrayList<>(live.subList(0, Math.min(FAN_OUT, live.size())));
-            if (mSequence % TRY_EVERY == 1) {
-                targets.addAll(mPeers.unheard(now));
-            }
-            for (PeerEndpoint target : targets) {
-                mSocket.send(new DatagramPacket(bytes, bytes.length, target.address()));
+            int peers = mPeers.live(now).size();
+            mIntervals++;
+            if (peers <= FAN_OUT || mIntervals % LARGE_SITE_INTERVALS == 0) {
+                sendDigest(peers, now);
             }
         } catch (IOException | RuntimeException e) {
             LOG.debug("gossip: a digest was not sent, cause={}", e.getMessage());
         }
     }
 
+    /**
+     * Sends a digest to the peers whose turn it is.
+     *
+     * @param peers the number of peers that are heard
+     * @param now the local monotonic time
+     * @throws IOException if a datagram cannot be sent
+     */
+    private void sendDigest(int peers, long now) throws IOException {
+        List<PeerEndpoint> live = mPeers.live(now);
+        int rounds = (peers + FAN_OUT - 1) / FAN_OUT;
+        Digest digest =
+                new Digest(
+                        mIncarnation,
+                        ++mSequence,
+                        mPeers.heardLately(now),
+                        live.subList(0, Math.min(NAMED_PEERS, live.size())),
+                        mListener.loads(),
+                        mListener.demands(),
+                        mListener.reads(Math.max(REPEATS, rounds + 1)));
+        byte[] bytes = DigestCodec.encode(digest);
+        List<PeerEndpoint> targets = mPeers.next(FAN_OUT, now);
+        if (mSequence % TRY_EVERY == 1) {
+            targets.addAll(mPeers.unheard(now));
+        }
+        for (PeerEndpoint target : targets) {
+            mSocket.send(new DatagramPacket(bytes, bytes.length, target.address()));
+        }
+    }
+
     /** Receives digests until the socket is closed. */
     private void receive() {
         byte[] buffer = new byte[MAX_DATAGRAM_BYTES];
--- a/router/src/main/java/org/magnoliaseam/gossip/PeerDirectory.java
+++ b/router/src/main/java/org/magnoliaseam/gossip/PeerDirectory.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Collections;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -45,6 +46,9 @@
     /** The local monotonic time at which each unheard address was named. */
     private final Map<PeerEndpoint, Long> mNamed = new HashMap<>();
 
+    /** The local monotonic time at which each peer was told something last. */
+    private final Map<PeerEndpoint, Long> mTold = new HashMap<>();
+
     /** Chooses whom to tell. */
     private final Random mRandom;
 
@@ -115,6 +119,22 @@
         return live;
     }
 
+    /**
+     * Returns the peers whose turn it is; each is told once in a round.
+     *
+     * @param count the most peers
+     * @param nowNanos the local monotonic time
+     * @return some of the peers that are heard
+     */
+    synchronized List<PeerEndpoint> next(int count, long nowNanos) {
+        List<PeerEndpoint> live = live(nowNanos);
+        live.sort(Comparator.comparingLong(peer -> mTold.getOrDefault(peer, 0L)));
+        List<PeerEndpoint> next = new ArrayList<>(live.subList(0, Math.min(count, live.size())));
+        mTold.keySet().retainAll(mHeard.keySet());
+        next.forEach(peer -> mTold.put(peer, nowNanos));
+        return next;
+    }
+
     /**
      * Returns the addresses that should be tried since nothing is heard from them.
      *
--- a/router/src/main/java/org/magnoliaseam/platform/StoreWatch.java
+++ b/router/src/main/java/org/magnoliaseam/platform/StoreWatch.java
@@ -12,7 +12,10 @@
 final class StoreWatch implements Runnable {
 
     /** The longest wait for a change in milliseconds; it bounds how long a silent store is. */
-    private static final long WAIT_MILLIS = 2500;
+    private static final long WAIT_MILLIS = 3500;
+
+    /** The pause after a change in milliseconds, so that one call brings several changes. */
+    private static final long GATHER_MILLIS = 150;
 
     /** The shortest pause after a failed call in milliseconds. */
     private static final long MIN_PAUSE_MILLIS = 100;
@@ -97,6 +100,9 @@
         }
         mRevision = Math.max(mRevision, page.revision());
         mListener.confirmed();
+        if (!page.items().isEmpty()) {
+            LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(GATHER_MILLIS));
+        }
     }
 
     /**
--- a/router/src/main/java/org/magnoliaseam/route/GatewayProcess.java
+++ b/router/src/main/java/org/magnoliaseam/route/GatewayProcess.java
@@ -18,7 +18,7 @@
 final class GatewayProcess {
 
     /** The time between two looks at the requests in progress, in milliseconds. */
-    private static final long TICK_MILLIS = 10;
+    private static final long TICK_MILLIS = 20;
 
     /** The time between two looks at the settings file, in milliseconds. */
     private static final long RELOAD_MILLIS = 2000;
--- a/router/src/main/java/org/magnoliaseam/route/GatewayRunner.java
+++ b/router/src/main/java/org/magnoliaseam/route/GatewayRunner.java
@@ -29,9 +29,9 @@
     public static int run(StoreSettings settings, Path file) {
         try {
             SettingsReload reload = new SettingsReload(settings, file);
+            Signal.handle(new Signal(RELOAD_SIGNAL), signal -> reload.check(true));
             GatewayProcess process = new GatewayFactory(reload).process();
             process.start();
-            Signal.handle(new Signal(RELOAD_SIGNAL), signal -> reload.check(true));
             Runtime.getRuntime()
                     .addShutdownHook(new Thread(() -> stopPlanned(process), "shutdown"));
             new CountDownLatch(1).await();
--- a/testbed/src/main/java/org/magnoliaseam/testbed/Main.java
+++ b/testbed/src/main/java/org/magnoliaseam/testbed/Main.java
@@ -12,6 +12,7 @@
 import org.magnoliaseam.testbed.replay.ExperimentCommand;
 import org.magnoliaseam.testbed.replay.ReplayCommand;
 import org.magnoliaseam.testbed.replay.TraceCommand;
+import org.magnoliaseam.testbed.soak.SoakCommand;
 
 /** Starts one stand-in or tool of the test bed. */
 public final class Main {
@@ -31,6 +32,7 @@
                             "proxy", new ProxyCommand(),
                             "trace", new TraceCommand(),
                             "replay", new ReplayCommand(),
+                            "soak", new SoakCommand(),
                             "experiment", new ExperimentCommand()));
 
     /** Prevents instances of this entry point. */
--- a/testbed/src/main/java/org/magnoliaseam/testbed/store/ServerStandIn.java
+++ b/testbed/src/main/java/org/magnoliaseam/testbed/store/ServerStandIn.java
@@ -2,7 +2,9 @@
 
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
 import org.magnoliaseam.testbed.http.HttpExchange;
 import org.magnoliaseam.testbed.http.ListenAddress;
 import org.magnoliaseam.testbed.http.StandInServer;
@@ -13,12 +15,12 @@
  */
 public final class ServerStandIn implements AutoCloseable {
 
+    /** The events of a stream. */
+    public static final int EVENTS = 6;
+
     /** The status of a server at whose address another one is expected. */
     private static final int MISDIRECTED = 421;
 
-    /** The events of a stream. */
-    private static final int EVENTS = 6;
-
     /** Lists what a server does with requests. */
     public enum Mode {
         /** Answers. */
@@ -41,8 +43,11 @@
     /** The server. */
     private final StandInServer mServer;
 
-    /** The ids of the requests that ran, in order. */
-    private final List<String> mRuns = new CopyOnWriteArrayList<>();
+    /** The time before an answer and between the events of a stream, in milliseconds. */
+    private final long mPaceMillis;
+
+    /** The requests that ran, in order. */
+    private final List<Run> mRuns = new CopyOnWriteArrayList<>();
 
     /** The names of the header fields of the last request. */
     private volatile String mLastHeaders = "";
@@ -51,14 +56,36 @@
     private volatile Mode mMode = Mode.SOUND;
 
     /**
-     * Starts a server.
+     * Holds the start of a request.
+     *
+     * @param request the id of the request
+     * @param nanos the local monotonic time
+     */
+    public record Run(String request, long nanos) {}
+
+    /**
+     * Starts a server that answers at once.
      *
      * @param id the id of the server
      * @param address the address to listen on
      * @throws Exception if the port cannot be opened
      */
     public ServerStandIn(String id, ListenAddress address) throws Exception {
+        this(id, address, 0);
+    }
+
+    /**
+     * Starts a server.
+     *
+     * @param id the id of the server
+     * @param address the address to listen on
+     * @param paceMillis the time before an answer and between the events of a stream, in
+     *     milliseconds
+     * @throws Exception if the port cannot be opened
+     */
+    public ServerStandIn(String id, ListenAddress address, long paceMillis) throws Exception {
         mId = id;
+        mPaceMillis = paceMillis;
         mServer = new StandInServer(address, this::handle).start();
     }
 
@@ -77,9 +104,27 @@
      * @return their ids in order
      */
     public List<String> runs() {
+        return mRuns.stream().map(Run::request).toList();
+    }
+
+    /**
+     * Returns the requests that ran and when.
+     *
+     * @return the starts in order
+     */
+    public List<Run> starts() {
         return mRuns;
     }
 
+    /**
+     * Returns the server, for faults.
+     *
+     * @return the server
+     */
+    public StandInServer server() {
+        return mServer;
+    }
+
     /**
      * Returns what the last request carried.
      *
@@ -98,10 +143,22 @@
      * @return the JSON text
      */
     public String entry(String service, String domain, String state) {
+        return entry(service, domain, state, mServer.address());
+    }
+
+    /**
+     * Returns the entry for the store of a server behind a proxy.
+     *
+     * @param service the service
+     * @param domain the failure domain
+     * @param state ready or draining
+     * @param address the address of the proxy
+     * @return the JSON text
+     */
+    public String entry(String service, String domain, String state, ListenAddress address) {
         return ("{\"service\":\"%s\",\"address\":\"%s:%d\",\"zone\":\"%s\",\"version\":\"v1\","
                         + "\"slots\":8,\"state\":\"%s\",\"cold_remaining_ms\":0,\"sequence\":1}")
-                .formatted(
-                        service, mServer.address().host(), mServer.address().port(), domain, state);
+                .formatted(service, address.host(), address.port(), domain, state);
     }
 
     @Override
@@ -130,16 +187,29 @@
                         + exchange.header("X-Tenant").orElse("")
                         + ",key="
                         + exchange.header("Authorization").orElse("");
-        mRuns.add(id);
+        mRuns.add(new Run(id, System.nanoTime()));
         exchange.with("X-Response-Signature", mId + "." + id);
         if (mMode == Mode.LOSE_ANSWER) {
             exchange.reset();
         } else if (mMode != Mode.MUTE && exchange.path().contains("/stream/")) {
             exchange.beginEvents();
             int last = exchange.header("Last-Event-Id").map(Integer::parseInt).orElse(0);
-            event(exchange, last + 1);
+            later(() -> event(exchange, last + 1));
         } else if (mMode != Mode.MUTE) {
-            exchange.json(200, Map.of("server", mId, "request", id));
+            later(() -> exchange.json(200, Map.of("server", mId, "request", id)));
+        }
+    }
+
+    /**
+     * Runs the next step of an answer at the pace of the server.
+     *
+     * @param step the step
+     */
+    private void later(Runnable step) {
+        if (mPaceMillis == 0) {
+            step.run();
+        } else {
+            CompletableFuture.delayedExecutor(mPaceMillis, TimeUnit.MILLISECONDS).execute(step);
         }
     }
 
@@ -160,7 +230,7 @@
                     if (cut) {
                         exchange.reset();
                     } else if (failure == null && number < EVENTS) {
-                        event(exchange, number + 1);
+                        later(() -> event(exchange, number + 1));
                     }
                 });
     }
--- /dev/null
+++ b/testbed/src/test/java/org/magnoliaseam/testbed/soak/SoakIT.java
@@ -0,0 +1,47 @@
+package org.magnoliaseam.testbed.soak;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.util.stream.LongStream;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+
+/** Soaks real entry VM processes in the kept seeds. */
+class SoakIT {
+
+    private static final long MILLIS = 15_000;
+
+    @TempDir Path mFolder;
+
+    static LongStream seeds() throws IOException {
+        try (BufferedReader lines =
+                new BufferedReader(
+                        new InputStreamReader(
+                                SoakIT.class.getResourceAsStream("/soak-seeds.txt"),
+                                StandardCharsets.UTF_8))) {
+            return LongStream.of(
+                    lines.lines()
+                            .filter(line -> !line.startsWith("#"))
+                            .mapToLong(line -> Long.parseLong(line.split("\\s+")[0]))
+                            .toArray());
+        }
+    }
+
+    @ParameterizedTest
+    @MethodSource("seeds")
+    void keepsEveryPromise(long seed) throws Exception {
+        String binary = System.getProperty("magnoliaseam.binary");
+        SoakRun.Outcome outcome = new SoakRun(seed, MILLIS).run(mFolder, binary);
+        System.out.printf(
+                "SoakIT: seed %d, calls %d, whole %d, faults %d%n",
+                seed, outcome.calls(), outcome.whole(), outcome.faults());
+        assertThat(outcome.broken()).isEmpty();
+        assertThat(outcome.whole()).isPositive();
+    }
+}
--- /dev/null
+++ b/testbed/src/test/java/org/magnoliaseam/testbed/soak/SoakPlanTest.java
@@ -0,0 +1,62 @@
+package org.magnoliaseam.testbed.soak;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+
+/** Tests what a soak draws, and what it takes for a disturbance. */
+class SoakPlanTest {
+
+    private static final long SECOND = 1_000_000_000L;
+
+    @Test
+    void aSeedAlwaysDrawsTheSameFaults() {
+        assertThat(SoakPlan.draw(7, 15_000, 3)).isEqualTo(SoakPlan.draw(7, 15_000, 3));
+        assertThat(SoakPlan.draw(7, 15_000, 3)).isNotEqualTo(SoakPlan.draw(8, 15_000, 3));
+    }
+
+    @Test
+    void everyFaultComesOverlappingAndWithinTheSoak() {
+        Set<SoakFault> drawn = new HashSet<>();
+        int overlaps = 0;
+        for (int seed = 0; seed < 20; seed++) {
+            List<SoakStep> steps = SoakPlan.draw(seed, 15_000, 3);
+            for (SoakStep step : steps) {
+                drawn.add(step.fault());
+                assertThat(step.atMillis()).isBetween(0L, 15_000L);
+                assertThat(step.target()).isBetween(0, 2);
+                overlaps += overlaps(steps, step) ? 1 : 0;
+            }
+        }
+        assertThat(drawn).containsExactlyInAnyOrder(SoakFault.values());
+        assertThat(overlaps).isPositive();
+    }
+
+    private static boolean overlaps(List<SoakStep> steps, SoakStep step) {
+        return steps.stream()
+                .anyMatch(
+                        other ->
+                                other != step
+                                        && other.atMillis() >= step.atMillis()
+                                        && other.atMillis() < step.atMillis() + step.forMillis());
+    }
+
+    @Test
+    void aDisturbanceCountsUntilThingsHaveSettled() {
+        Disturbances disturbances = new Disturbances();
+        long before = System.nanoTime();
+        assertThat(disturbances.calm(before, before)).isTrue();
+        Disturbances.Span span = disturbances.begin();
+        long during = System.nanoTime();
+        assertThat(disturbances.calm(during, during + 60 * SECOND)).isFalse();
+        span.end();
+        long after = System.nanoTime();
+        assertThat(disturbances.calm(after + SECOND, after + 2 * SECOND)).isFalse();
+        assertThat(disturbances.calm(after + 4 * SECOND, after + 5 * SECOND)).isTrue();
+        assertThat(disturbances.calm(before - 2, before - 1)).isTrue();
+        assertThat(disturbances.count(before, after)).isEqualTo(1);
+    }
+}
