--- a/router/src/main/java/org/magnoliaseam/gateway/VmShares.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/VmShares.java
@@ -15,7 +15,7 @@
 final class VmShares {
 
     /** The entry VMs that may exist before the first look at the peers. */
-    private static final int ASSUMED_VMS = 32;
+    private static final int ASSUMED_VMS = 8;
 
     /** The requests a second that make it worth to be one of the senders to a cold server. */
     private static final double COLD_SENDER_PER_SECOND = 2;
--- a/router/src/main/java/org/magnoliaseam/gossip/PeerDirectory.java
+++ b/router/src/main/java/org/magnoliaseam/gossip/PeerDirectory.java
@@ -26,7 +26,7 @@
     private static final int UNHEARD_VMS = 2;
 
     /** The entry VMs that may exist while this one has just started. */
-    private static final int ASSUMED_VMS = 32;
+    private static final int ASSUMED_VMS = 8;
 
     /** The time after the first peer was heard in which all others are heard of. */
     private static final long SETTLING_NANOS = 500_000_000L;
--- a/router/src/main/java/org/magnoliaseam/route/GatewayRunner.java
+++ b/router/src/main/java/org/magnoliaseam/route/GatewayRunner.java
@@ -41,6 +41,7 @@
             return 1;
         } catch (Exception e) {
             LOG.error("route: start failed, cause={}", e.getMessage(), e);
+            LogManager.shutdown();
             return 1;
         }
     }
--- a/router/src/main/java/org/magnoliaseam/route/ProcessRunner.java
+++ b/router/src/main/java/org/magnoliaseam/route/ProcessRunner.java
@@ -41,6 +41,7 @@
             return 1;
         } catch (Exception e) {
             log.error("route: start failed, cause={}", e.getMessage(), e);
+            LogManager.shutdown();
             return 1;
         }
     }
--- a/testbed/src/main/java/org/magnoliaseam/testbed/soak/SoakFault.java
+++ b/testbed/src/main/java/org/magnoliaseam/testbed/soak/SoakFault.java
@@ -1,6 +1,5 @@
 package org.magnoliaseam.testbed.soak;
 
-import org.magnoliaseam.testbed.harness.Signal;
 import org.magnoliaseam.testbed.proxy.Fault;
 import org.magnoliaseam.testbed.proxy.LinkFaults;
 import org.magnoliaseam.testbed.store.ServerStandIn.Mode;
@@ -14,7 +13,7 @@
     /** Asks a process to end and starts it again. */
     STOP(100, 600, (site, target) -> site.router(target).stop()),
     /** Lets a process read its settings again. */
-    RELOAD(100, 200, (site, target) -> site.router(target).signal(Signal.HUP)),
+    RELOAD(100, 200, (site, target) -> site.router(target).reload()),
     /** Swallows what a process and the store send each other. */
     STORE_SILENT(500, 4000, storeLink(LinkFaults.both(Fault.BLACKHOLE))),
     /** Swallows the store's answers only. */
--- a/testbed/src/main/java/org/magnoliaseam/testbed/soak/SoakRouter.java
+++ b/testbed/src/main/java/org/magnoliaseam/testbed/soak/SoakRouter.java
@@ -4,6 +4,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import org.magnoliaseam.testbed.harness.ManagedProcess;
@@ -18,6 +19,9 @@
     /** The grace of the settings and a margin. */
     private static final Duration STOP_LIMIT = Duration.ofSeconds(12);
 
+    /** The time in which a process cannot take signals to reload, since its runtime starts. */
+    private static final long STARTING_NANOS = 2_000_000_000L;
+
     /** The name of the VM. */
     private final String mName;
 
@@ -45,6 +49,9 @@
     /** The faults that keep the process down. */
     private int mDown;
 
+    /** The local monotonic time of the last start. */
+    private long mStartedNanos;
+
     /** The starts so far. */
     private volatile int mStarts;
 
@@ -82,7 +89,7 @@
         mStoreLink = storeLink;
         Path file = folder.resolve(name + ".toml");
         Files.writeString(file, settings);
-        mCommand = new java.util.ArrayList<>(command);
+        mCommand = new ArrayList<>(command);
         mCommand.add(file.toString());
     }
 
@@ -90,6 +97,7 @@
     synchronized void start() {
         if (mDown == 0 && (mProcess == null || !mProcess.alive())) {
             mStarts++;
+            mStartedNanos = System.nanoTime();
             mProcess = new ManagedProcess(mName, mFolder, mCommand);
         }
     }
@@ -195,13 +203,15 @@
     }
 
     /**
-     * Sends a signal that needs no end.
+     * Lets a process that has started read its settings again. Before that the signal would end the
+     * Java runtime, which has no handler yet.
      *
-     * @param signal the signal
      * @return does nothing
      */
-    AutoCloseable signal(Signal signal) {
-        signalNow(signal);
+    synchronized AutoCloseable reload() {
+        if (System.nanoTime() - mStartedNanos > STARTING_NANOS) {
+            mProcess.send(Signal.HUP);
+        }
         return () -> {};
     }
 
--- a/testbed/src/main/java/org/magnoliaseam/testbed/soak/SoakServer.java
+++ b/testbed/src/main/java/org/magnoliaseam/testbed/soak/SoakServer.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.TimeUnit;
 import org.magnoliaseam.testbed.harness.Ports;
 import org.magnoliaseam.testbed.http.ListenAddress;
+import org.magnoliaseam.testbed.proxy.Fault;
 import org.magnoliaseam.testbed.proxy.FaultProxy;
 import org.magnoliaseam.testbed.proxy.LinkFaults;
 import org.magnoliaseam.testbed.store.ServerStandIn;
@@ -201,7 +202,7 @@
         mLeaving = true;
         Disturbances.Span span = mDisturbances.begin();
         Life life = present();
-        life.mLink.apply(LinkFaults.both(org.magnoliaseam.testbed.proxy.Fault.RESET));
+        life.mLink.apply(LinkFaults.both(Fault.RESET));
         return () -> {
             TimeUnit.MILLISECONDS.sleep(LAPSE_MILLIS);
             mStore.delete("servers/" + life.id());
