Divide engines by the tokens that they have to read

Change: work is counted when a request is sent, by its unread tokens. PlacementTest.Division has a new case; it was not run red, the old rule had no such input.

--- a/router/src/main/java/org/magnoliaseam/gateway/EngineGroups.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/EngineGroups.java
@@ -105,16 +105,15 @@
     }
 
     /**
-     * Counts the work of a request.
+     * Counts the work of a request. Shared parts count where they have to be read, so that requests
+     * get more engines while these keep little.
      *
      * @param request the request
+     * @param unreadTokens the prompt tokens that its engine has to read
      * @param nowNanos the local monotonic time
      */
-    void arrived(GatewayRequest request, long nowNanos) {
-        Prompt prompt = request.prompt();
-        List<PromptPart> parts = prompt.parts();
-        int own = parts.isEmpty() ? prompt.tokens() : parts.get(parts.size() - 1).tokens();
-        double work = own + ANSWER_TOKEN_WORK * prompt.maxOutputTokens();
+    void started(GatewayRequest request, long unreadTokens, long nowNanos) {
+        double work = unreadTokens + ANSWER_TOKEN_WORK * request.prompt().maxOutputTokens();
         mDemand.computeIfAbsent(key(request), pause -> new DemandMeter()).add(work, nowNanos);
     }
 
@@ -135,6 +134,7 @@
      * @return the group
      */
     Group group(GatewayRequest request, List<ServerState> engines, long nowNanos) {
+        mDemand.computeIfAbsent(key(request), pause -> new DemandMeter());
         review(engines.size(), nowNanos);
         int kind = new ArrayList<>(mDemand.keySet()).indexOf(key(request));
         if (kind < 0 || engines.size() < mSizes.length) {
--- a/router/src/main/java/org/magnoliaseam/gateway/Placement.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/Placement.java
@@ -65,14 +65,15 @@
     }
 
     /**
-     * Counts a request that has arrived.
+     * Counts a request that has been sent.
      *
      * @param request the request
+     * @param unreadTokens the prompt tokens that its backend server has to read
      * @param nowNanos the local monotonic time
      */
-    void arrived(GatewayRequest request, long nowNanos) {
+    void started(GatewayRequest request, long unreadTokens, long nowNanos) {
         if (request.service().engine().isPresent()) {
-            groups(request).arrived(request, nowNanos);
+            groups(request).started(request, unreadTokens, nowNanos);
         }
     }
 
--- a/router/src/main/java/org/magnoliaseam/gateway/ServerBoard.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/ServerBoard.java
@@ -244,6 +244,7 @@
         String reason = mPlacement.describe(request, chosen, candidates.size(), now);
         boolean alone = chosen.waitingTokens(mForeign) == 0;
         long tokens = chosen.start(request, mShares, now);
+        mPlacement.started(request, tokens, now);
         mReads.sent(chosen.id(), request.prompt());
         return new Choice.Start(chosen, tokens, alone, reason);
     }
@@ -325,7 +326,6 @@
      * @param request the request
      */
     synchronized void firstTry(GatewayRequest request) {
-        mPlacement.arrived(request, mClock.nanos());
         mBudgets.firstTry(request.service().name(), mClock.nanos());
     }
 
--- a/router/src/test/java/org/magnoliaseam/gateway/PlacementTest.java
+++ b/router/src/test/java/org/magnoliaseam/gateway/PlacementTest.java
@@ -58,8 +58,8 @@
             Placement other = new Placement(HERE, new ForeignLoads());
             for (int i = 0; i < 20; i++) {
                 GatewayRequest request = stream("part-" + i, 200, 500);
-                mPlacement.arrived(request, 0);
-                other.arrived(request, 0);
+                mPlacement.started(request, request.prompt().tokens(), 0);
+                other.started(request, request.prompt().tokens(), 0);
                 assertThat(choose(mPlacement, request)).isSameAs(choose(other, request));
             }
         }
@@ -67,7 +67,7 @@
         @Test
         void anEngineThatIsBusyElsewhereIsLeft() {
             GatewayRequest request = stream("part", 200, 500);
-            mPlacement.arrived(request, 0);
+            mPlacement.started(request, request.prompt().tokens(), 0);
             ServerState home = choose(mPlacement, request);
             ServerLoad load = new ServerLoad(home.id(), 40, 100_000);
             Digest digest = new Digest(1, 1, 1, List.of(), List.of(load), List.of(), List.of());
@@ -92,8 +92,8 @@
         @Test
         void requestsThatBearUnlikePausesUseDifferentEngines() {
             for (int i = 0; i < 30; i++) {
-                mPlacement.arrived(stream("a" + i, 200, 500), 0);
-                mPlacement.arrived(stream("b" + i, 800, 5000), 0);
+                mPlacement.started(stream("a" + i, 200, 500), 500, 0);
+                mPlacement.started(stream("b" + i, 800, 5000), 5000, 0);
             }
             assertThat(used(200, 500)).doesNotContainAnyElementsOf(used(800, 5000));
         }
@@ -101,8 +101,8 @@
         @Test
         void longPromptsKeepAwayFromTheEnginesOfStrictStreamsEvenWhenBusy() {
             for (int i = 0; i < 30; i++) {
-                mPlacement.arrived(stream("a" + i, 200, 500), 0);
-                mPlacement.arrived(stream("b" + i, 800, 5000), 0);
+                mPlacement.started(stream("a" + i, 200, 500), 500, 0);
+                mPlacement.started(stream("b" + i, 800, 5000), 5000, 0);
             }
             Set<BackendServerId> strict = used(200, 500);
             for (ServerState engine : mEngines) {
@@ -113,10 +113,19 @@
             assertThat(strict).doesNotContain(choose(mPlacement, stream("new", 800, 5000)).id());
         }
 
+        @Test
+        void promptsWhoseSharedPartsHaveToBeReadGetMoreEngines() {
+            for (int i = 0; i < 30; i++) {
+                mPlacement.started(stream("a" + i, 200, 500), 500, 0);
+                mPlacement.started(stream("b" + i, 800, 500), 500 + 20 * 900, 0);
+            }
+            assertThat(used(800, 500)).hasSizeGreaterThan(used(200, 500).size());
+        }
+
         @Test
         void oneEngineServesAllKinds() {
-            mPlacement.arrived(stream("a", 200, 500), 0);
-            mPlacement.arrived(stream("b", 800, 500), 0);
+            mPlacement.started(stream("a", 200, 500), 500, 0);
+            mPlacement.started(stream("b", 800, 500), 500, 0);
             List<ServerState> one = states(1);
             GatewayRequest request = stream("b", 800, 500);
             assertThat(mPlacement.choose(request, one, one, 0)).isSameAs(one.get(0));
