Follow the store with one watch whose time limit comes from the site

Change: one watch of all keys; its time limit is the new setting store-contact-limit less 0.4 s for the next call. Test: PlatformFeedTest (a store that falls silent, one that answers, one watch for all keys), green now; by construction red before, as the old limit of 4.2 s exceeds the stated 3 s.

--- a/router/src/main/java/org/magnoliaseam/platform/PlatformFeed.java
+++ b/router/src/main/java/org/magnoliaseam/platform/PlatformFeed.java
@@ -20,8 +20,8 @@
 /** Passes changes in the platform's metadata store to the router. */
 public final class PlatformFeed {
 
-    /** The prefix of the keys that operators write. */
-    private static final String OPERATOR_PREFIX = "op/";
+    /** The prefix of all keys. */
+    private static final String ALL_KEYS = "";
 
     /** The key of the configuration. */
     private static final String CONFIGURATION_KEY = "op/config";
@@ -41,17 +41,14 @@
     /** Receives the backend servers. */
     private final ServerPool mPool;
 
-    /** Watches the keys that operators write. */
-    private final StoreWatch mOperators;
-
-    /** Watches the keys of backend servers. */
-    private final StoreWatch mServers;
+    /** Watches all keys, since each call of the store counts. */
+    private final StoreWatch mWatch;
 
     /** The failure domains that are out of service. */
     private final Set<FailureDomain> mOutOfService = new HashSet<>();
 
-    /** Whether all backend servers have been read once. */
-    private final AtomicBoolean mServersRead = new AtomicBoolean();
+    /** Whether all keys have been read once. */
+    private final AtomicBoolean mRead = new AtomicBoolean();
 
     /**
      * Creates a feed.
@@ -69,20 +66,19 @@
         mCurrentCatalog = currentCatalog;
         mPool = pool;
         StoreClient store = new StoreClient(client, settings.storeAddress());
-        mOperators = new StoreWatch(store, OPERATOR_PREFIX, operatorListener());
-        mServers = new StoreWatch(store, SERVER_PREFIX, serverListener());
+        mWatch = new StoreWatch(store, ALL_KEYS, settings.storeContactLimit(), listener());
     }
 
     /** Starts watching the store. */
     public void start() {
-        thread(mOperators, "store-operators").start();
-        thread(mServers, "store-servers").start();
+        Thread thread = new Thread(mWatch, "store");
+        thread.setDaemon(true);
+        thread.start();
     }
 
     /** Stops watching the store. */
     public void stop() {
-        mOperators.stop();
-        mServers.stop();
+        mWatch.stop();
     }
 
     /**
@@ -91,45 +87,34 @@
      * @return true once requests can be served
      */
     public boolean complete() {
-        return mServersRead.get() && mCurrentCatalog.catalog().isPresent();
+        return mRead.get() && mCurrentCatalog.catalog().isPresent();
     }
 
     /**
-     * Creates a daemon thread.
-     *
-     * @param watch the watch to run
-     * @param name the name of the thread
-     * @return the thread, not yet started
-     */
-    private static Thread thread(StoreWatch watch, String name) {
-        Thread thread = new Thread(watch, name);
-        thread.setDaemon(true);
-        return thread;
-    }
-
-    /**
-     * Creates the listener for the operators' keys.
+     * Creates the listener for changes.
      *
      * @return the listener
      */
-    private StoreListener operatorListener() {
+    private StoreListener listener() {
         return new StoreListener() {
             @Override
             public void snapshot(List<StoreItem> items) {
                 mOutOfService.clear();
-                items.forEach(PlatformFeed.this::applyOperatorItem);
+                items.forEach(PlatformFeed.this::apply);
                 mPool.outOfService(mOutOfService);
+                mPool.retain(listed(items));
+                mRead.set(true);
             }
 
             @Override
             public void changed(List<StoreItem> changes) {
-                changes.forEach(PlatformFeed.this::applyOperatorItem);
+                changes.forEach(PlatformFeed.this::apply);
                 mPool.outOfService(mOutOfService);
             }
 
             @Override
             public void reconnected() {
-                // The configuration stays valid while the store is unreachable.
+                mPool.publisherReturned();
             }
 
             @Override
@@ -140,38 +125,32 @@
     }
 
     /**
-     * Creates the listener for the backend servers.
+     * Returns the backend servers in a full list.
      *
-     * @return the listener
+     * @param items all items
+     * @return the ids of the backend servers
      */
-    private StoreListener serverListener() {
-        return new StoreListener() {
-            @Override
-            public void snapshot(List<StoreItem> items) {
-                Set<BackendServerId> listed = new HashSet<>();
-                for (StoreItem item : items) {
-                    applyServerItem(item);
-                    id(item).ifPresent(listed::add);
-                }
-                mPool.retain(listed);
-                mServersRead.set(true);
-            }
-
-            @Override
-            public void changed(List<StoreItem> changes) {
-                changes.forEach(PlatformFeed.this::applyServerItem);
-            }
-
-            @Override
-            public void reconnected() {
-                mPool.publisherReturned();
+    private static Set<BackendServerId> listed(List<StoreItem> items) {
+        Set<BackendServerId> listed = new HashSet<>();
+        for (StoreItem item : items) {
+            if (item.key().startsWith(SERVER_PREFIX)) {
+                id(item).ifPresent(listed::add);
             }
+        }
+        return listed;
+    }
 
-            @Override
-            public void upToDate() {
-                // Nothing depends on the age of the list of backend servers.
-            }
-        };
+    /**
+     * Applies a change of any key; other keys are ignored.
+     *
+     * @param item the item or its removal
+     */
+    private void apply(StoreItem item) {
+        if (item.key().startsWith(SERVER_PREFIX)) {
+            applyServerItem(item);
+        } else {
+            applyOperatorItem(item);
+        }
     }
 
     /**
--- a/router/src/main/java/org/magnoliaseam/platform/StoreClient.java
+++ b/router/src/main/java/org/magnoliaseam/platform/StoreClient.java
@@ -27,7 +27,7 @@
     private static final long READ_TIMEOUT_MILLIS = 1500;
 
     /** The time that a response to a watch may take beyond the wait, in milliseconds. */
-    private static final long WATCH_SLACK_MILLIS = 700;
+    private static final long WATCH_SLACK_MILLIS = 500;
 
     /** Parses JSON. */
     private static final ObjectMapper MAPPER = new ObjectMapper();
@@ -69,13 +69,13 @@
      *
      * @param prefix the prefix of the keys
      * @param after the revision whose later changes are returned
-     * @param waitMillis the longest wait in milliseconds
+     * @param limitMillis the time limit for the response in milliseconds
      * @return the changes; empty if none came during the wait
      * @throws StoreException if the store returned no usable page; with status 410 if it no longer
      *     has the changes since the revision
      * @throws InterruptedException if the thread was interrupted
      */
-    StorePage watch(String prefix, long after, long waitMillis)
+    StorePage watch(String prefix, long after, long limitMillis)
             throws StoreException, InterruptedException {
         String query =
                 "/-/kv-watch?prefix="
@@ -83,8 +83,8 @@
                         + "&after="
                         + after
                         + "&wait_ms="
-                        + waitMillis;
-        return page(call(query, waitMillis + WATCH_SLACK_MILLIS), "events");
+                        + (limitMillis - WATCH_SLACK_MILLIS);
+        return page(call(query, limitMillis), "events");
     }
 
     /**
--- a/router/src/main/java/org/magnoliaseam/platform/StoreWatch.java
+++ b/router/src/main/java/org/magnoliaseam/platform/StoreWatch.java
@@ -1,5 +1,6 @@
 package org.magnoliaseam.platform;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.ThreadLocalRandom;
@@ -11,8 +12,11 @@
 /** Watches one prefix of the metadata store, on its own thread, until it is stopped. */
 final class StoreWatch implements Runnable {
 
-    /** The longest wait for a change, in milliseconds; it limits the time without a response. */
-    private static final long WAIT_MILLIS = 3500;
+    /**
+     * The time that is left of the contact limit for the call after one that had no response, in
+     * milliseconds.
+     */
+    private static final long RECOVERY_MILLIS = 400;
 
     /** The pause after a change, in milliseconds, so that one call returns several changes. */
     private static final long BATCH_MILLIS = 150;
@@ -35,6 +39,9 @@
     /** The prefix of the keys. */
     private final String mPrefix;
 
+    /** The time limit for the response to a call that waits for changes, in milliseconds. */
+    private final long mLimitMillis;
+
     /** Receives the items. */
     private final StoreListener mListener;
 
@@ -52,11 +59,13 @@
      *
      * @param client calls the store
      * @param prefix the prefix of the keys
+     * @param contactLimit the time within which lost contact is noticed and restored
      * @param listener receives the items
      */
-    StoreWatch(StoreClient client, String prefix, StoreListener listener) {
+    StoreWatch(StoreClient client, String prefix, Duration contactLimit, StoreListener listener) {
         mClient = client;
         mPrefix = prefix;
+        mLimitMillis = contactLimit.toMillis() - RECOVERY_MILLIS;
         mListener = listener;
     }
 
@@ -93,7 +102,7 @@
             readAll();
             return;
         }
-        StorePage page = mClient.watch(mPrefix, mRevision, WAIT_MILLIS);
+        StorePage page = mClient.watch(mPrefix, mRevision, mLimitMillis);
         recordSuccess();
         if (!page.items().isEmpty()) {
             mListener.changed(page.items());
--- a/router/src/main/java/org/magnoliaseam/settings/StoreSettings.java
+++ b/router/src/main/java/org/magnoliaseam/settings/StoreSettings.java
@@ -17,6 +17,8 @@
  * @param operatorsAddress the address of the operators' port
  * @param peersAddress the address of the peer port
  * @param storeAddress the address of the metadata store
+ * @param storeContactLimit the time within which lost contact with the metadata store is noticed
+ *     and restored, if the store is reachable again
  * @param seeds the peer port addresses of some entry VMs for the first contact; may be outdated
  * @param retryRatio the allowed retries of all entry VMs as a fraction of first attempts
  * @param retrySlack the retries that all entry VMs may make in one window in addition to that
@@ -31,6 +33,7 @@
         InetSocketAddress operatorsAddress,
         InetSocketAddress peersAddress,
         InetSocketAddress storeAddress,
+        Duration storeContactLimit,
         List<InetSocketAddress> seeds,
         double retryRatio,
         double retrySlack,
--- a/router/src/main/java/org/magnoliaseam/settings/load/StoreSettingsLoader.java
+++ b/router/src/main/java/org/magnoliaseam/settings/load/StoreSettingsLoader.java
@@ -60,6 +60,7 @@
                         reader.read(StoreKeys.OPERATORS_ADDRESS),
                         reader.read(StoreKeys.PEERS_ADDRESS),
                         reader.read(StoreKeys.STORE_ADDRESS),
+                        reader.read(StoreKeys.STORE_CONTACT_LIMIT),
                         reader.read(StoreKeys.SEEDS),
                         reader.read(StoreKeys.RETRY_RATIO),
                         reader.read(StoreKeys.RETRY_SLACK),
--- a/router/src/main/java/org/magnoliaseam/settings/schema/StoreKeys.java
+++ b/router/src/main/java/org/magnoliaseam/settings/schema/StoreKeys.java
@@ -30,6 +30,14 @@
     /** The address of the metadata store. */
     public static final KeySpec<InetSocketAddress> STORE_ADDRESS = address("store-address");
 
+    /** The time within which lost contact with the metadata store is noticed and restored. */
+    public static final KeySpec<Duration> STORE_CONTACT_LIMIT =
+            KeySpec.optional(
+                    "store-contact-limit",
+                    ValueTypes.duration("2 s", "30 s"),
+                    Scope.LOCAL,
+                    Duration.ofSeconds(3));
+
     /** The peer port addresses of some entry VMs for the first contact. */
     public static final KeySpec<List<InetSocketAddress>> SEEDS =
             KeySpec.optional(
@@ -64,6 +72,7 @@
                             OPERATORS_ADDRESS,
                             PEERS_ADDRESS,
                             STORE_ADDRESS,
+                            STORE_CONTACT_LIMIT,
                             SEEDS,
                             RETRY_RATIO,
                             RETRY_SLACK,
--- /dev/null
+++ b/router/src/test/java/org/magnoliaseam/platform/PlatformFeedTest.java
@@ -0,0 +1,183 @@
+package org.magnoliaseam.platform;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.awaitility.Awaitility.await;
+
+import com.sun.net.httpserver.HttpExchange;
+import com.sun.net.httpserver.HttpServer;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.Base64;
+import java.util.List;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.eclipse.jetty.client.HttpClient;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.magnoliaseam.catalog.Catalog;
+import org.magnoliaseam.gateway.CurrentCatalog;
+import org.magnoliaseam.gateway.RetryLimits;
+import org.magnoliaseam.gateway.ServerPool;
+import org.magnoliaseam.model.FailureDomain;
+import org.magnoliaseam.model.VmId;
+import org.magnoliaseam.settings.StoreSettings;
+
+/** Tests how the router follows a metadata store that fails. */
+class PlatformFeedTest {
+
+    /** The stated time within which contact is restored. */
+    private static final Duration CONTACT_LIMIT = Duration.ofSeconds(3);
+
+    private static final String CONFIGURATION =
+            "{\"version\":%d,\"routes\":[],\"services\":[],\"limits\":{},\"tenants\":[]}";
+
+    private static final String SERVER =
+            "{\"service\":\"desk\",\"address\":\"127.0.0.1:1\",\"zone\":\"domain-1\","
+                    + "\"version\":\"v1\",\"slots\":8,\"state\":\"ready\",\"sequence\":1}";
+
+    private final ExecutorService mThreads = Executors.newCachedThreadPool();
+
+    private final HttpClient mClient = new HttpClient();
+
+    private final CurrentCatalog mCatalog = new CurrentCatalog(System::nanoTime);
+
+    private final ServerPool mPool =
+            new ServerPool(
+                    new FailureDomain("domain-1"), () -> new RetryLimits(0, 0), System::nanoTime);
+
+    private final AtomicInteger mWatches = new AtomicInteger();
+
+    private HttpServer mStore;
+
+    private PlatformFeed mFeed;
+
+    private volatile boolean mSilent;
+
+    private volatile int mVersion = 1;
+
+    @BeforeEach
+    void start() throws Exception {
+        mClient.start();
+        mStore = HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 0);
+        mStore.setExecutor(mThreads);
+        mStore.createContext("/-/kv-range", this::range);
+        mStore.createContext("/-/kv-watch", this::watch);
+        mStore.start();
+        mFeed = new PlatformFeed(settings(), mClient, mCatalog, mPool);
+        mFeed.start();
+        await().atMost(Duration.ofSeconds(5)).until(mFeed::complete);
+    }
+
+    @AfterEach
+    void stop() throws Exception {
+        mFeed.stop();
+        mStore.stop(0);
+        mThreads.shutdownNow();
+        mClient.stop();
+    }
+
+    private StoreSettings settings() {
+        InetSocketAddress unused = InetSocketAddress.createUnresolved("127.0.0.1", 1);
+        return new StoreSettings(
+                new VmId("entry-1"),
+                new FailureDomain("domain-1"),
+                unused,
+                unused,
+                unused,
+                unused,
+                mStore.getAddress(),
+                CONTACT_LIMIT,
+                List.of(),
+                0,
+                0,
+                Duration.ofSeconds(1));
+    }
+
+    private static String item(String key, String value, long revision) {
+        byte[] bytes = value.getBytes(StandardCharsets.UTF_8);
+        return "{\"key\":\"%s\",\"value\":\"%s\",\"revision\":%d}"
+                .formatted(key, Base64.getEncoder().encodeToString(bytes), revision);
+    }
+
+    private void range(HttpExchange exchange) throws IOException {
+        String items =
+                item("op/config", CONFIGURATION.formatted(mVersion), 10 + mVersion)
+                        + ","
+                        + item("servers/i-1", SERVER, 5)
+                        + ","
+                        + item("other/key", "ignored", 6);
+        answer(exchange, "{\"items\":[" + items + "],\"store_revision\":" + (10 + mVersion) + "}");
+    }
+
+    private void watch(HttpExchange exchange) throws IOException {
+        mWatches.incrementAndGet();
+        String query = exchange.getRequestURI().getQuery();
+        long after = Long.parseLong(query.replaceAll(".*after=(\\d+).*", "$1"));
+        long wait = Long.parseLong(query.replaceAll(".*wait_ms=(\\d+).*", "$1"));
+        boolean silent = mSilent;
+        try {
+            for (long waited = 0; silent || waited < wait && after >= 10 + mVersion; waited += 5) {
+                TimeUnit.MILLISECONDS.sleep(5);
+                silent |= mSilent;
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return;
+        }
+        boolean changed = after < 10 + mVersion;
+        String event = item("op/config", CONFIGURATION.formatted(mVersion), 10 + mVersion);
+        answer(
+                exchange,
+                "{\"events\":[%s],\"store_revision\":%d}"
+                        .formatted(changed ? event : "", 10 + mVersion));
+    }
+
+    private static void answer(HttpExchange exchange, String body) throws IOException {
+        byte[] bytes = body.getBytes(StandardCharsets.UTF_8);
+        exchange.sendResponseHeaders(200, bytes.length);
+        exchange.getResponseBody().write(bytes);
+        exchange.close();
+    }
+
+    private long version() {
+        return mCatalog.catalog().map(Catalog::version).orElse(0L);
+    }
+
+    /** Tests a store that answers. */
+    @Nested
+    class Reachable {
+        @Test
+        void oneWatchFollowsAllKeys() throws InterruptedException {
+            assertThat(mPool.size()).isEqualTo(1);
+            TimeUnit.MILLISECONDS.sleep(200);
+            assertThat(mWatches).hasValue(1);
+        }
+
+        @Test
+        void changeIsAppliedAtOnce() {
+            mVersion = 2;
+            await().atMost(Duration.ofSeconds(1)).until(() -> version() == 2);
+        }
+    }
+
+    /** Tests a store that is silent for some time. */
+    @Nested
+    class Silent {
+        @Test
+        void changeDuringTheSilenceIsAppliedWithinTheContactLimit() {
+            int before = mWatches.get();
+            mSilent = true;
+            await().atMost(Duration.ofSeconds(10)).until(() -> mWatches.get() > before);
+            mVersion = 2;
+            mSilent = false;
+            await().atMost(CONTACT_LIMIT).until(() -> version() == 2);
+        }
+    }
+}
