--- a/router/src/main/java/org/magnoliaseam/catalog/Route.java
+++ b/router/src/main/java/org/magnoliaseam/catalog/Route.java
@@ -13,6 +13,8 @@
  * @param services the services that share the requests, at least one
  * @param maxTries the largest number of backend servers that may run one request
  * @param timeoutMillis the time limit for an answer in milliseconds
+ * @param patienceMillis the time without an answer or event after which callers give up, in
+ *     milliseconds
  * @param targetMillis the target for the time to the answer, or to the first event of a stream, in
  *     milliseconds
  * @param pauseTargetMillis the target for the longest pause between events in milliseconds; 0 if
@@ -29,6 +31,7 @@
         List<WeightedService> services,
         int maxTries,
         long timeoutMillis,
+        long patienceMillis,
         long targetMillis,
         long pauseTargetMillis,
         int priority,
--- a/router/src/main/java/org/magnoliaseam/gateway/BackendServerState.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/BackendServerState.java
@@ -3,6 +3,7 @@
 import org.magnoliaseam.catalog.EngineCapacity;
 import org.magnoliaseam.catalog.ServerEntry;
 import org.magnoliaseam.catalog.Service;
+import org.magnoliaseam.membership.StableHash;
 import org.magnoliaseam.model.BackendServerId;
 
 /**
@@ -11,6 +12,15 @@
  */
 final class BackendServerState {
 
+    /** The time for which an observed backlog replaces the reports of peers, in nanoseconds. */
+    private static final long BACKLOG_VALID_NANOS = 500_000_000L;
+
+    /** The time after the home of the engine refused a permit until it is asked again. */
+    private static final long REFUSED_NANOS = 20_000_000L;
+
+    /** The number of nanoseconds in a millisecond. */
+    private static final double NANOS_PER_MILLI = 1e6;
+
     /** The time for which a reported load is valid, in nanoseconds. */
     private static final long LOAD_VALID_NANOS = 1_000_000_000L;
 
@@ -23,8 +33,14 @@
     /** The assumed memory of an engine in tokens, before the first request states it. */
     private static final long INITIAL_MEMORY_TOKENS = 100_000;
 
-    /** The weight of the latest measurement in the moving average of the processing speed. */
-    private static final double SPEED_WEIGHT = 0.1;
+    /** The weight of a measurement above the moving average of the processing speed. */
+    private static final double FASTER_WEIGHT = 0.3;
+
+    /**
+     * The weight of a measurement below the moving average. It is smaller, since prompts of other
+     * entry VMs and evicted parts make many measurements too slow, but nothing makes one too fast.
+     */
+    private static final double SLOWER_WEIGHT = 0.05;
 
     /** The smallest number of tokens from which the processing speed is measured. */
     private static final int SPEED_TOKENS = 1000;
@@ -38,6 +54,9 @@
     /** Limits the rate of requests during a cold start. */
     private final ColdStartLimiter mColdLimiter;
 
+    /** The hash of the id, which places the backend server in an order that all entry VMs share. */
+    private final long mHash;
+
     /** The published entry of the backend server. */
     private ServerEntry mEntry;
 
@@ -59,6 +78,15 @@
     /** The local monotonic time of the reported load. */
     private long mLoadNanos;
 
+    /** The prompt tokens that waited there when the home of the engine answered last. */
+    private long mBacklogTokens;
+
+    /** The local monotonic time of that answer. */
+    private long mBacklogNanos;
+
+    /** The local monotonic time of the last answer that refused a permit. */
+    private long mRefusedNanos;
+
     /** The processing speed in prompt tokens per millisecond. */
     private double mTokensPerMilli = INITIAL_TOKENS_PER_MILLI;
 
@@ -70,8 +98,11 @@
      */
     BackendServerState(ServerEntry entry, long nowNanos) {
         mEntry = entry;
+        mHash = StableHash.of(entry.id().value(), 0);
         mColdLimiter = new ColdStartLimiter(nowNanos);
         mLoadNanos = nowNanos - LOAD_VALID_NANOS;
+        mBacklogNanos = nowNanos - BACKLOG_VALID_NANOS;
+        mRefusedNanos = nowNanos - REFUSED_NANOS;
         mColdUntilNanos = nowNanos + entry.coldMillis() * 1_000_000L;
     }
 
@@ -113,6 +144,15 @@
         return mEntry.id();
     }
 
+    /**
+     * Returns the hash of the id.
+     *
+     * @return the hash, which is the same at all entry VMs
+     */
+    long hash() {
+        return mHash;
+    }
+
     /**
      * Returns the published entry.
      *
@@ -170,11 +210,19 @@
         long tokens = uncachedTokens(request.prompt());
         mRunning++;
         mPendingTokens += tokens;
+        return tokens;
+    }
+
+    /**
+     * Records that a request was sent, after which its prompt will be cached there.
+     *
+     * @param request the request
+     */
+    void sent(GatewayRequest request) {
         mMemoryTokens = request.service().engine().map(EngineCapacity::memoryTokens).orElse(0L);
         for (PromptPart part : request.prompt().parts()) {
             mPromptCache.use(part.id(), part.tokens(), mMemoryTokens);
         }
-        return tokens;
     }
 
     /**
@@ -209,8 +257,8 @@
      */
     void measured(long tokens, double millis) {
         if (tokens >= SPEED_TOKENS && millis > 0) {
-            double speed = tokens / millis;
-            mTokensPerMilli += SPEED_WEIGHT * (speed - mTokensPerMilli);
+            double difference = tokens / millis - mTokensPerMilli;
+            mTokensPerMilli += (difference > 0 ? FASTER_WEIGHT : SLOWER_WEIGHT) * difference;
         }
     }
 
@@ -267,13 +315,61 @@
     }
 
     /**
-     * Returns the prompt tokens of all entry VMs that wait to be processed.
+     * Records the prompt tokens of all entry VMs that wait there, as counted by the home of the
+     * engine.
+     *
+     * @param tokens the tokens
+     * @param nowNanos the local monotonic time
+     */
+    void backlog(long tokens, long nowNanos) {
+        mBacklogTokens = tokens;
+        mBacklogNanos = nowNanos;
+    }
+
+    /**
+     * Records that the home of the engine refused a permit.
+     *
+     * @param nowNanos the local monotonic time
+     */
+    void permitRefused(long nowNanos) {
+        mRefusedNanos = nowNanos;
+    }
+
+    /**
+     * Tells whether the home of the engine has refused a permit just now.
+     *
+     * @param nowNanos the local monotonic time
+     * @return true if it is not asked again yet
+     */
+    boolean isPermitRefused(long nowNanos) {
+        return nowNanos - mRefusedNanos < REFUSED_NANOS;
+    }
+
+    /**
+     * Estimates the prompt tokens of all entry VMs that wait to be processed.
      *
      * @param peerLoads the load of the other entry VMs at the backend servers
-     * @return the tokens
+     * @param nowNanos the local monotonic time
+     * @return the last counted backlog less what has been processed since, while it is valid; the
+     *     tokens that the entry VMs reported otherwise
+     */
+    long waitingTokens(PeerLoads peerLoads, long nowNanos) {
+        long age = nowNanos - mBacklogNanos;
+        if (age >= BACKLOG_VALID_NANOS) {
+            return mPendingTokens + peerLoads.pendingTokens(id());
+        }
+        long processed = (long) (age / NANOS_PER_MILLI * mTokensPerMilli);
+        return Math.max(mPendingTokens, mBacklogTokens - processed);
+    }
+
+    /**
+     * Returns the prompt tokens that the backend server processes in a time.
+     *
+     * @param millis the time in milliseconds
+     * @return the number of tokens
      */
-    long waitingTokens(PeerLoads peerLoads) {
-        return mPendingTokens + peerLoads.pendingTokens(id());
+    long tokensWithin(double millis) {
+        return (long) (millis * mTokensPerMilli);
     }
 
     /**
--- /dev/null
+++ b/router/src/main/java/org/magnoliaseam/gateway/CallAnswer.java
@@ -0,0 +1,111 @@
+package org.magnoliaseam.gateway;
+
+import java.nio.ByteBuffer;
+import java.util.concurrent.CompletableFuture;
+import org.magnoliaseam.error.Refusal;
+import org.magnoliaseam.exchange.AnswerHead;
+
+/**
+ * Passes the answer of a request on to its caller: the head once, and the events of all attempts in
+ * one stream. Guarded by the lock of the request.
+ */
+final class CallAnswer {
+
+    /** Receives the answer. */
+    private final GatewaySink mSink;
+
+    /** Whether the head of a stream has been passed on. */
+    private boolean mBegun;
+
+    /** The id of the last event that the caller has, from this request or an earlier one. */
+    private String mLastEventId;
+
+    /**
+     * Creates an answer that has not begun.
+     *
+     * @param sink receives the answer
+     * @param lastEventId the id of the last event that the caller has; empty if it has none
+     */
+    CallAnswer(GatewaySink sink, String lastEventId) {
+        mSink = sink;
+        mLastEventId = lastEventId;
+    }
+
+    /**
+     * Tells whether the caller has a part of the answer.
+     *
+     * @return true once the head of a stream has been passed on
+     */
+    boolean begun() {
+        return mBegun;
+    }
+
+    /**
+     * Returns the id of the last event that the caller has.
+     *
+     * @return the id; empty if it has none
+     */
+    String lastEventId() {
+        return mLastEventId;
+    }
+
+    /**
+     * Passes the head of a stream on unless the caller has one.
+     *
+     * @param head status and header fields
+     */
+    void begin(AnswerHead head) {
+        if (!mBegun) {
+            mBegun = true;
+            mSink.head(head);
+        }
+    }
+
+    /**
+     * Passes complete events on.
+     *
+     * @param events the bytes of the events
+     * @param lastId the id of the last of them; empty if it has none
+     * @return completes when the caller has room for more
+     */
+    CompletableFuture<Void> events(ByteBuffer events, String lastId) {
+        mLastEventId = lastId.isEmpty() ? mLastEventId : lastId;
+        return mSink.write(events);
+    }
+
+    /**
+     * Ends a complete stream.
+     *
+     * @param head status and header fields, used if the stream had no events
+     */
+    void endStream(AnswerHead head) {
+        begin(head);
+        mSink.end();
+    }
+
+    /**
+     * Passes a complete answer on that is not a stream.
+     *
+     * @param head status and header fields
+     * @param body the body
+     */
+    void whole(AnswerHead head, byte[] body) {
+        mSink.head(head);
+        mSink.endWith(ByteBuffer.wrap(body));
+    }
+
+    /**
+     * Ends an incomplete answer: breaks it off if it has begun, and refuses the request otherwise.
+     *
+     * @param refusal what the caller is told
+     * @param retryAfterMillis the delay before the caller should come back, in milliseconds; 0 for
+     *     no advice
+     */
+    void fail(Refusal refusal, long retryAfterMillis) {
+        if (mBegun) {
+            mSink.breakOff();
+        } else {
+            mSink.refuse(refusal, retryAfterMillis);
+        }
+    }
+}
--- /dev/null
+++ b/router/src/main/java/org/magnoliaseam/gateway/CallPlacement.java
@@ -0,0 +1,185 @@
+package org.magnoliaseam.gateway;
+
+import org.magnoliaseam.error.ErrorKind;
+
+/**
+ * Places a request on backend servers: one attempt at a time, with a wait while none has room.
+ * Guarded by the lock of the request.
+ */
+final class CallPlacement {
+
+    /** The busy engines after which the request waits instead of trying another one. */
+    private static final int MAX_BUSY_ENGINES = 3;
+
+    /** The request. */
+    private final GatewayCall mCall;
+
+    /** The components that the request uses. */
+    private final GatewayParts mParts;
+
+    /** The lock of the request, and the actions to run after releasing it. */
+    private final DeferredActions mActions;
+
+    /** The answer to the caller. */
+    private final CallAnswer mAnswer;
+
+    /** The attempts so far. */
+    private final AttemptHistory mHistory = new AttemptHistory();
+
+    /** The wait for a backend server. */
+    private final CallWait mWait;
+
+    /** The attempt in progress; null if there is none. */
+    private GatewayAttempt mAttempt;
+
+    /** The engines that were too busy for the request so far. */
+    private int mBusyEngines;
+
+    /**
+     * Creates the placement of a request without attempts.
+     *
+     * @param call the request
+     * @param parts the components that the request uses
+     * @param actions the lock of the request, and the actions to run after releasing it
+     * @param answer the answer to the caller
+     */
+    CallPlacement(
+            GatewayCall call, GatewayParts parts, DeferredActions actions, CallAnswer answer) {
+        mCall = call;
+        mParts = parts;
+        mActions = actions;
+        mAnswer = answer;
+        mWait = new CallWait(call.request(), parts);
+    }
+
+    /**
+     * Returns the attempts so far.
+     *
+     * @return the history
+     */
+    AttemptHistory history() {
+        return mHistory;
+    }
+
+    /**
+     * Returns the wait for a backend server.
+     *
+     * @return the wait
+     */
+    CallWait waiting() {
+        return mWait;
+    }
+
+    /**
+     * Returns the attempt in progress.
+     *
+     * @return the attempt; null if there is none
+     */
+    GatewayAttempt attempt() {
+        return mAttempt;
+    }
+
+    /** Forgets the attempt in progress, which has ended. */
+    void clear() {
+        mAttempt = null;
+    }
+
+    /** Ends the placement, because the request has ended. */
+    void end() {
+        mAttempt = null;
+        mWait.end();
+        mParts.waiting().remove(mCall);
+    }
+
+    /**
+     * Starts the first attempt, unless requests of the same or a higher priority wait already.
+     *
+     * @return false if the request has to be refused
+     */
+    boolean begin() {
+        mParts.pool().firstTry(mCall.request());
+        mParts.waiting().arrived(mCall.request());
+        if (!mParts.waiting().mustWait(mCall.request())) {
+            return place();
+        }
+        mActions.add(mParts.waiting()::drain);
+        return mWait.await(mCall, ErrorKind.OVERLOADED);
+    }
+
+    /**
+     * Starts an attempt on a backend server, or lets the request wait for one.
+     *
+     * @return false if the request has to be refused
+     */
+    boolean place() {
+        ServerChoice choice = mParts.pool().choose(mCall.request(), mHistory.excluded());
+        if (choice instanceof ServerChoice.Wait wait) {
+            return mWait.await(mCall, wait.kind());
+        }
+        ServerChoice.Start start = (ServerChoice.Start) choice;
+        TryOrder order =
+                new TryOrder(
+                        mCall.request(),
+                        start.server().entry(),
+                        mCall.request().deadlineNanos(),
+                        mAnswer.lastEventId());
+        mAttempt = new GatewayAttempt(mCall, start, mParts, order);
+        mActions.add(mAttempt::start);
+        return true;
+    }
+
+    /**
+     * Tries to start the request if it waits.
+     *
+     * @return false if it has to be refused
+     */
+    boolean placeIfWaiting() {
+        return !mWait.waiting() || mAttempt != null || place();
+    }
+
+    /**
+     * Tells what keeps the request waiting.
+     *
+     * @return the result of the last try to start it
+     */
+    WaitingCalls.Attempted attempted() {
+        return mWait.attempted(mHistory.excluded().isEmpty());
+    }
+
+    /** Counts the attempt in progress, which is about to be sent. */
+    void sent() {
+        mHistory.sent();
+        mWait.end();
+        mParts.waiting().started(mCall);
+    }
+
+    /**
+     * Selects another backend server after the engine of the attempt in progress was too busy.
+     *
+     * @return false if the request has to be refused
+     */
+    boolean busy() {
+        mAttempt = null;
+        mBusyEngines++;
+        return mBusyEngines % MAX_BUSY_ENGINES == 0
+                ? mWait.await(mCall, ErrorKind.OVERLOADED)
+                : place();
+    }
+
+    /**
+     * Takes one retry from the retry budget if the route allows another attempt.
+     *
+     * @param record gets a step if the budget is used up
+     * @return true if the request may be sent again
+     */
+    boolean mayRetry(RequestRecord record) {
+        if (!mHistory.allowsAnother(mCall.request().route())) {
+            return false;
+        }
+        boolean allowed = mParts.pool().tryRetry(mCall.request());
+        if (!allowed) {
+            record.add(StepKind.BUDGET_USED_UP, "", "", mParts.clock().nanos());
+        }
+        return allowed;
+    }
+}
--- /dev/null
+++ b/router/src/main/java/org/magnoliaseam/gateway/CallWait.java
@@ -0,0 +1,172 @@
+package org.magnoliaseam.gateway;
+
+import org.magnoliaseam.error.ErrorKind;
+import org.magnoliaseam.membership.StableHash;
+import org.magnoliaseam.placement.RefusalRule;
+
+/**
+ * Tracks whether a request waits for a backend server, and decides when it is refused. Guarded by
+ * the lock of the request.
+ */
+final class CallWait {
+
+    /**
+     * The longest wait while no backend server is in service, as a fraction of the target; nothing
+     * tells then when the wait will end.
+     */
+    private static final double MAX_UNSERVED_WAIT_SHARE = 0.5;
+
+    /** The number of nanoseconds in a millisecond. */
+    private static final double NANOS_PER_MILLI = 1e6;
+
+    /** The divisor that maps the upper 53 bits of a hash to the range from 0 to below 1. */
+    private static final double HASH_DIVISOR = 0x1p53;
+
+    /** The low bits of a hash that exceed the 53-bit precision of a {@code double}. */
+    private static final int HASH_SHIFT = 11;
+
+    /** The seed of the hash that spreads the return of refused callers. */
+    private static final int SPREAD_SEED = 2;
+
+    /** The request. */
+    private final GatewayRequest mRequest;
+
+    /** The components that the request uses. */
+    private final GatewayParts mParts;
+
+    /** Whether the request waits. */
+    private boolean mWaiting;
+
+    /** The local monotonic time since which the request waits for a backend server. */
+    private long mSinceNanos;
+
+    /** The local monotonic time at which the caller gives up without a further event. */
+    private long mDeadlineNanos;
+
+    /** The error kind of the latest wait, used if the request is refused. */
+    private ErrorKind mKind = ErrorKind.OVERLOADED;
+
+    /** The predicted time from the start to the first event or the answer, in milliseconds. */
+    private double mServiceMillis;
+
+    /**
+     * Creates the state of a request that does not wait.
+     *
+     * @param request the request
+     * @param parts the components that the request uses
+     */
+    CallWait(GatewayRequest request, GatewayParts parts) {
+        mRequest = request;
+        mParts = parts;
+        mSinceNanos = request.arrivedNanos();
+        mDeadlineNanos = request.firstEventDeadlineNanos();
+    }
+
+    /**
+     * Restarts the time of the wait after a failed attempt.
+     *
+     * @param begun whether the caller has a part of the answer, so that its patience starts anew
+     */
+    void restart(boolean begun) {
+        mSinceNanos = mParts.clock().nanos();
+        if (begun) {
+            mDeadlineNanos = mRequest.eventDeadlineNanos(mSinceNanos);
+        }
+    }
+
+    /**
+     * Begins or continues to wait.
+     *
+     * @param call the request
+     * @param kind the error kind if it is refused later
+     * @return true if it waits; false if it has to be refused now
+     */
+    boolean await(GatewayCall call, ErrorKind kind) {
+        mKind = kind;
+        if (mWaiting) {
+            return !expired();
+        }
+        mServiceMillis = mParts.pool().fastestAnswerMillis(mRequest);
+        if (isHopeless(mParts.waiting().forecastMillis(mRequest))) {
+            return false;
+        }
+        mWaiting = true;
+        mParts.waiting().add(call);
+        return true;
+    }
+
+    /** Ends the wait. */
+    void end() {
+        mWaiting = false;
+    }
+
+    /**
+     * Tells whether the request waits.
+     *
+     * @return true if it waits
+     */
+    boolean waiting() {
+        return mWaiting;
+    }
+
+    /**
+     * Tells what keeps the request waiting after an attempt to start it.
+     *
+     * @param unrestricted whether the request may use every backend server
+     * @return the result of the attempt
+     */
+    WaitingCalls.Attempted attempted(boolean unrestricted) {
+        if (!mWaiting) {
+            return WaitingCalls.Attempted.STARTED;
+        }
+        return unrestricted && mKind == ErrorKind.OVERLOADED
+                ? WaitingCalls.Attempted.NO_ROOM
+                : WaitingCalls.Attempted.RESTRICTED;
+    }
+
+    /**
+     * Returns the error kind of the latest wait.
+     *
+     * @return the error kind
+     */
+    ErrorKind kind() {
+        return mKind;
+    }
+
+    /**
+     * Tells whether a waiting request can no longer be answered in time.
+     *
+     * @return true if it has to be refused
+     */
+    boolean expired() {
+        if (mKind == ErrorKind.NO_BACKEND_SERVER) {
+            double waitedMillis = (mParts.clock().nanos() - mSinceNanos) / NANOS_PER_MILLI;
+            return waitedMillis >= MAX_UNSERVED_WAIT_SHARE * mRequest.route().targetMillis();
+        }
+        return isHopeless(0);
+    }
+
+    /**
+     * Returns the delay after which the caller should come back if the request is refused.
+     *
+     * @return the delay in milliseconds; 0 if no time is left
+     */
+    long retryAfterMillis() {
+        double remaining = (mRequest.deadlineNanos() - mParts.clock().nanos()) / NANOS_PER_MILLI;
+        long hash = StableHash.of(mRequest.id().value(), SPREAD_SEED);
+        double draw = (hash >>> HASH_SHIFT) / HASH_DIVISOR;
+        double forecast = mParts.waiting().forecastMillis(mRequest);
+        return RefusalRule.retryAfterMillis(forecast, remaining, draw);
+    }
+
+    /**
+     * Tells whether the request cannot be answered in time after a further wait.
+     *
+     * @param forecastMillis the further wait in milliseconds
+     * @return true if it cannot
+     */
+    private boolean isHopeless(double forecastMillis) {
+        return RefusalRule.isHopeless(
+                mParts.clock().nanos(), forecastMillis, mServiceMillis, mDeadlineNanos);
+    }
+}
--- a/router/src/main/java/org/magnoliaseam/gateway/EngineGroups.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/EngineGroups.java
@@ -3,12 +3,13 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.Comparator;
+import java.util.IdentityHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
 import org.magnoliaseam.gossip.Demand;
-import org.magnoliaseam.membership.StableHash;
 import org.magnoliaseam.model.ServiceName;
+import org.magnoliaseam.placement.DecayingCounter;
 
 /**
  * Partitions the engines of a service by the longest pause that requests tolerate, since a long
@@ -41,7 +42,7 @@
     private final PeerLoads mPeerLoads;
 
     /** The demand, by the longest pause in milliseconds that the requests tolerate. */
-    private final Map<Long, DemandMeter> mDemand = new TreeMap<>();
+    private final Map<Long, DecayingCounter> mDemand = new TreeMap<>();
 
     /** The number of engines in each group, ordered by pause. */
     private int[] mSizes = {};
@@ -52,36 +53,13 @@
     /** The local monotonic time of the last check. */
     private long mCheckedNanos;
 
-    /** Measures the recent work of one kind of request with exponential decay. */
-    private static final class DemandMeter {
-
-        /** The decayed work in prompt tokens at the last request. */
-        private double mWork;
-
-        /** The local monotonic time of the last request. */
-        private long mNanos;
+    /**
+     * The engines for which {@link #mPositions} holds; the pool keeps the list until it changes.
+     */
+    private List<BackendServerState> mOrdered = List.of();
 
-        /**
-         * Adds work.
-         *
-         * @param work the work in prompt tokens
-         * @param nowNanos the local monotonic time
-         */
-        void add(double work, long nowNanos) {
-            mWork = at(nowNanos) + work;
-            mNanos = nowNanos;
-        }
-
-        /**
-         * Returns the decayed work.
-         *
-         * @param nowNanos the local monotonic time
-         * @return the work in prompt tokens
-         */
-        double at(long nowNanos) {
-            return mWork * Math.exp(-Math.max(0, nowNanos - mNanos) / DECAY_NANOS);
-        }
-    }
+    /** The position of each engine in the order that all entry VMs share. */
+    private Map<BackendServerState, Integer> mPositions = Map.of();
 
     /**
      * Creates the groups of a service.
@@ -117,17 +95,44 @@
      */
     void started(GatewayRequest request, long uncachedTokens, long nowNanos) {
         double work = uncachedTokens + ANSWER_TOKEN_WORK * request.prompt().maxOutputTokens();
-        mDemand.computeIfAbsent(key(request), pause -> new DemandMeter()).add(work, nowNanos);
+        mDemand.computeIfAbsent(key(request), pause -> new DecayingCounter(DECAY_NANOS))
+                .add(work, nowNanos);
     }
 
     /**
      * Holds the engines for the requests with the same longest pause.
      *
-     * @param own the engines reserved for them, at least one
-     * @param overflow the engines reserved for requests that tolerate longer pauses, used as
-     *     overflow
+     * @param positions the position of each engine
+     * @param begin the position of the first engine reserved for them
+     * @param end the position after the last one; engines from here on are reserved for requests
+     *     that tolerate longer pauses, and used as overflow
      */
-    record Group(List<BackendServerState> own, List<BackendServerState> overflow) {}
+    record Group(Map<BackendServerState, Integer> positions, int begin, int end) {
+
+        /** The group that reserves no engines. */
+        static final Group ALL = new Group(Map.of(), 0, 1);
+
+        /**
+         * Tells whether an engine is reserved for the requests.
+         *
+         * @param state the engine
+         * @return true if it is
+         */
+        boolean isOwn(BackendServerState state) {
+            int position = positions.getOrDefault(state, begin);
+            return position >= begin && position < end;
+        }
+
+        /**
+         * Tells whether an engine is reserved for requests that tolerate longer pauses.
+         *
+         * @param state the engine
+         * @return true if it serves the requests as overflow
+         */
+        boolean isOverflow(BackendServerState state) {
+            return positions.getOrDefault(state, begin) >= end;
+        }
+    }
 
     /**
      * Returns the engines for the requests with the same longest pause.
@@ -138,17 +143,34 @@
      * @return the group
      */
     Group group(GatewayRequest request, List<BackendServerState> engines, long nowNanos) {
-        mDemand.computeIfAbsent(key(request), pause -> new DemandMeter());
+        mDemand.computeIfAbsent(key(request), pause -> new DecayingCounter(DECAY_NANOS));
         updateSizes(engines.size(), nowNanos);
         int kind = new ArrayList<>(mDemand.keySet()).indexOf(key(request));
         if (kind < 0 || engines.size() < mSizes.length) {
-            return new Group(engines, List.of());
+            return Group.ALL;
         }
-        List<BackendServerState> ordered = new ArrayList<>(engines);
-        ordered.sort(Comparator.comparingLong(state -> StableHash.of(state.id().value(), 0)));
+        order(engines);
         int begin = Arrays.stream(mSizes, 0, kind).sum();
-        int end = begin + mSizes[kind];
-        return new Group(ordered.subList(begin, end), ordered.subList(end, ordered.size()));
+        return new Group(mPositions, begin, begin + mSizes[kind]);
+    }
+
+    /**
+     * Orders the engines by their hash unless that has been done.
+     *
+     * @param engines the engines of the service
+     */
+    private void order(List<BackendServerState> engines) {
+        if (engines == mOrdered) {
+            return;
+        }
+        List<BackendServerState> ordered = new ArrayList<>(engines);
+        ordered.sort(Comparator.comparingLong(BackendServerState::hash));
+        Map<BackendServerState, Integer> positions = new IdentityHashMap<>();
+        for (BackendServerState engine : ordered) {
+            positions.put(engine, positions.size());
+        }
+        mOrdered = engines;
+        mPositions = positions;
     }
 
     /**
@@ -195,7 +217,7 @@
     private double[] shares(int engines, long nowNanos) {
         double[] work = new double[mDemand.size()];
         int kind = 0;
-        for (Map.Entry<Long, DemandMeter> entry : mDemand.entrySet()) {
+        for (Map.Entry<Long, DecayingCounter> entry : mDemand.entrySet()) {
             double peerWork = mPeerLoads.work(mService, entry.getKey());
             work[kind++] = Math.sqrt(entry.getValue().at(nowNanos) + peerWork);
         }
--- a/router/src/main/java/org/magnoliaseam/gateway/Gateway.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/Gateway.java
@@ -1,8 +1,5 @@
 package org.magnoliaseam.gateway;
 
-import java.util.ArrayList;
-import java.util.Comparator;
-import java.util.List;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import org.magnoliaseam.exchange.Cancellation;
@@ -40,18 +37,16 @@
     }
 
     /**
-     * Ends requests at their deadlines, gives up silent attempts and places waiting requests, those
-     * of the highest priority first.
+     * Ends requests at their deadlines and gives up silent attempts. Waiting requests start as soon
+     * as an attempt ends; here they start after other changes, such as the end of an ejection.
      */
     public void tick() {
         if (mCalls.isEmpty()) {
             return;
         }
-        List<GatewayCall> calls = new ArrayList<>(mCalls);
-        calls.sort(
-                Comparator.comparingInt((GatewayCall call) -> call.request().priority())
-                        .thenComparingLong(call -> call.request().arrivedNanos()));
-        calls.forEach(GatewayCall::tick);
+        mParts.permits().tick();
+        mCalls.forEach(GatewayCall::tick);
+        mParts.waiting().drain();
     }
 
     /**
--- a/router/src/main/java/org/magnoliaseam/gateway/GatewayAttempt.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/GatewayAttempt.java
@@ -8,6 +8,8 @@
 import org.magnoliaseam.exchange.AnswerHead;
 import org.magnoliaseam.exchange.Cancellation;
 import org.magnoliaseam.gateway.EventSplitter.Event;
+import org.magnoliaseam.permit.PermitMessage;
+import org.magnoliaseam.permit.PermitOutcome;
 
 /** Tracks one attempt at a backend server and checks that its answer is complete. */
 final class GatewayAttempt implements AttemptListener {
@@ -44,6 +46,9 @@
     /** The request as it is sent to the backend server. */
     private final TryOrder mOrder;
 
+    /** The number of the permit. */
+    private final long mPermit;
+
     /** Splits a stream into events. */
     private final EventSplitter mSplitter = new EventSplitter();
 
@@ -71,6 +76,9 @@
     /** The local monotonic time of the start or the last event. */
     private volatile long mProgressNanos;
 
+    /** Whether no other prompt waited at the engine when the permit was granted. */
+    private volatile boolean mIdle;
+
     /**
      * Creates an attempt.
      *
@@ -84,11 +92,68 @@
         mStart = start;
         mParts = parts;
         mOrder = order;
+        mPermit = parts.permits().nextId();
         mProgressNanos = parts.clock().nanos();
     }
 
-    /** Sends the request. */
+    /** Asks for the permit of an engine and sends the request. */
     void start() {
+        if (mStart.limitTokens() < 0) {
+            proceed();
+            return;
+        }
+        mParts.permits()
+                .ask(
+                        new PermitMessage.Ask(
+                                mPermit,
+                                server().id(),
+                                mOrder.request().priority(),
+                                mStart.uncachedTokens(),
+                                mStart.limitTokens()),
+                        this::permitAnswered);
+    }
+
+    /**
+     * Sends the request if its engine has room for the prompt.
+     *
+     * @param outcome the outcome of asking for the permit
+     */
+    private void permitAnswered(PermitOutcome outcome) {
+        if (outcome instanceof PermitOutcome.Busy busy) {
+            mParts.pool().permitRefused(server(), busy.waitingTokens());
+            undo();
+            mCall.busy(this);
+        } else {
+            if (outcome instanceof PermitOutcome.Granted granted) {
+                mIdle = granted.waitingTokens() == 0;
+                long tokens = granted.waitingTokens() + mStart.uncachedTokens();
+                mParts.pool().backlog(server(), tokens);
+            }
+            proceed();
+        }
+        mParts.waiting().drain();
+    }
+
+    /** Sends the request unless the call has ended meanwhile. */
+    private void proceed() {
+        if (mCall.permitted(this)) {
+            mParts.pool().sent(mStart, mOrder.request());
+            send();
+        } else {
+            undo();
+        }
+    }
+
+    /** Ends the attempt before it was sent. */
+    private void undo() {
+        if (markEnded()) {
+            mParts.pool().ended(server());
+        }
+    }
+
+    /** Sends the request. */
+    private void send() {
+        mProgressNanos = mParts.clock().nanos();
         Cancellation cancellation = mParts.port().start(mOrder, this);
         boolean alreadyGivenUp;
         synchronized (this) {
@@ -121,6 +186,15 @@
         return mStart.server();
     }
 
+    /**
+     * Returns the inputs of the selection.
+     *
+     * @return a short text for the log
+     */
+    String reason() {
+        return mStart.reason();
+    }
+
     /**
      * Returns the request as it is sent to the backend server.
      *
@@ -198,6 +272,7 @@
         } else {
             mParts.pool().succeeded(server());
         }
+        mParts.waiting().drain();
         if (mStreamed) {
             mCall.streamEnded(this, mHead);
         } else {
@@ -217,6 +292,7 @@
             mParts.pool().failed(server(), mOrder.request().service(), failure);
         }
         mCall.failed(this, failure, detail);
+        mParts.waiting().drain();
     }
 
     /**
@@ -240,8 +316,11 @@
         long now = mParts.clock().nanos();
         if (!mPromptProcessed) {
             mPromptProcessed = true;
-            double millis = mStart.alone() ? (now - mProgressNanos) / NANOS_PER_MILLI : 0;
+            double millis =
+                    mIdle && mStart.measurable() ? (now - mProgressNanos) / NANOS_PER_MILLI : 0;
             mParts.pool().promptProcessed(server(), mStart.uncachedTokens(), millis);
+            mParts.permits().done(new PermitMessage.Done(mPermit, server().id()));
+            mParts.waiting().drain();
         } else {
             mCall.paused(now - mProgressNanos);
         }
@@ -260,6 +339,7 @@
         mEnded = true;
         if (!mPromptProcessed) {
             mParts.pool().promptProcessed(server(), mStart.uncachedTokens(), 0);
+            mParts.permits().done(new PermitMessage.Done(mPermit, server().id()));
         }
         return true;
     }
--- a/router/src/main/java/org/magnoliaseam/gateway/GatewayCall.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/GatewayCall.java
@@ -2,6 +2,7 @@
 
 import java.nio.ByteBuffer;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Consumer;
 import org.magnoliaseam.backend.BackendFailure;
@@ -13,20 +14,14 @@
 /** Serves one request with attempts until a complete answer, a refusal or the deadline. */
 final class GatewayCall {
 
-    /** The longest wait for a backend server before a refusal, as a fraction of the target. */
-    private static final double MAX_WAIT_SHARE = 0.5;
-
-    /** The number of nanoseconds in a millisecond. */
-    private static final long NANOS_PER_MILLI = 1_000_000;
-
     /** The lock of the request, and the actions to run after releasing it. */
     private final DeferredActions mActions = new DeferredActions();
 
     /** The request. */
     private final GatewayRequest mRequest;
 
-    /** Receives the answer. */
-    private final GatewaySink mSink;
+    /** The answer to the caller. */
+    private final CallAnswer mAnswer;
 
     /** The components that the request uses. */
     private final GatewayParts mParts;
@@ -37,23 +32,8 @@
     /** The log record of the request. */
     private final RequestRecord mRecord;
 
-    /** The attempts so far. */
-    private final AttemptHistory mHistory = new AttemptHistory();
-
-    /** The attempt in progress; null if there is none. */
-    private GatewayAttempt mAttempt;
-
-    /** Whether the head of a stream has been passed on to the caller. */
-    private boolean mHeadSent;
-
-    /** The id of the last event that the caller has, from this request or an earlier one. */
-    private String mLastEventId;
-
-    /** The local monotonic time since which the request waits for a backend server. */
-    private long mWaitingSinceNanos;
-
-    /** The error kind of the latest wait, used if the request is refused. */
-    private ErrorKind mWaitKind = ErrorKind.OVERLOADED;
+    /** The attempts of the request. */
+    private final CallPlacement mPlacement;
 
     /** Whether the request has been started. */
     private boolean mStarted;
@@ -75,12 +55,11 @@
             GatewayParts parts,
             Consumer<GatewayCall> onEnd) {
         mRequest = request;
-        mSink = sink;
+        mAnswer = new CallAnswer(sink, request.lastEventId());
         mParts = parts;
         mOnEnd = onEnd;
-        mLastEventId = request.lastEventId();
         mRecord = new RequestRecord(request);
-        mWaitingSinceNanos = request.arrivedNanos();
+        mPlacement = new CallPlacement(this, parts, mActions, mAnswer);
     }
 
     /**
@@ -101,17 +80,33 @@
         mActions.decide(() -> mRecord.paused(nanos));
     }
 
-    /** Starts the first attempt. */
+    /** Starts the first attempt, unless requests of the same or a higher priority wait already. */
     void begin() {
         mActions.decide(
                 () -> {
                     mStarted = true;
-                    mParts.pool().firstTry(mRequest);
-                    place();
+                    refuseUnless(mPlacement.begin());
+                });
+    }
+
+    /**
+     * Starts the request if it waits and a backend server has room.
+     *
+     * @return whether it still waits, and why
+     */
+    WaitingCalls.Attempted tryStart() {
+        AtomicReference<WaitingCalls.Attempted> result = new AtomicReference<>();
+        mActions.decide(
+                () -> {
+                    refuseUnless(mPlacement.placeIfWaiting());
+                    result.set(mPlacement.attempted());
                 });
+        return result.get();
     }
 
-    /** Ends the request at its deadline, gives up a silent attempt, or places a waiting request. */
+    /**
+     * Ends the request at its deadline, gives up a silent attempt, or refuses a waiting request.
+     */
     void tick() {
         mActions.decide(this::onTick);
     }
@@ -124,13 +119,15 @@
         long now = mParts.clock().nanos();
         if (now - mRequest.deadlineNanos() >= 0) {
             expire();
-        } else if (mAttempt == null) {
-            place();
-        } else if (mAttempt.silent(now)
+        } else if (mPlacement.attempt() == null) {
+            if (mPlacement.waiting().expired()) {
+                fail(mPlacement.waiting().kind());
+            }
+        } else if (mPlacement.attempt().silent(now)
                 && mRequest.route().idempotent()
-                && mHistory.allowsAnother(mRequest.route())) {
-            mRecord.add(StepKind.SILENT, mAttempt.server().id().value(), "", now);
-            mActions.add(mAttempt::giveUp);
+                && mPlacement.history().allowsAnother(mRequest.route())) {
+            record(StepKind.SILENT, mPlacement.attempt(), "");
+            giveUpRunning();
         }
     }
 
@@ -146,10 +143,31 @@
                 });
     }
 
+    /**
+     * Tells whether an attempt no longer matters.
+     *
+     * @param attempt the attempt
+     * @return true if the request has ended or another attempt has replaced it
+     */
+    private boolean isNotCurrent(GatewayAttempt attempt) {
+        return mEnded || attempt != mPlacement.attempt();
+    }
+
+    /**
+     * Adds a step of an attempt to the log record.
+     *
+     * @param kind what happened
+     * @param attempt the attempt
+     * @param detail the inputs of the decision or the cause of the failure
+     */
+    private void record(StepKind kind, GatewayAttempt attempt, String detail) {
+        mRecord.add(kind, attempt.server().id().value(), detail, now());
+    }
+
     /** Gives up the attempt in progress if there is one. */
     private void giveUpRunning() {
-        if (mAttempt != null) {
-            mActions.add(mAttempt::giveUp);
+        if (mPlacement.attempt() != null) {
+            mActions.add(mPlacement.attempt()::giveUp);
         }
     }
 
@@ -161,7 +179,7 @@
      */
     boolean sending(GatewayAttempt sent) {
         synchronized (mActions) {
-            return !mEnded && sent == mAttempt && mParts.pool().confirm(sent.order());
+            return !isNotCurrent(sent) && mParts.pool().confirm(sent.order());
         }
     }
 
@@ -173,37 +191,24 @@
      * @param body the body
      */
     void answered(GatewayAttempt from, AnswerHead head, byte[] body) {
-        mActions.decide(() -> handleAnswer(from, head, body));
-    }
-
-    /**
-     * Retries after a server error where that is allowed, and passes any other answer on.
-     *
-     * @param from the attempt
-     * @param head status and header fields
-     * @param body the body
-     */
-    private void handleAnswer(GatewayAttempt from, AnswerHead head, byte[] body) {
-        if (mEnded || from != mAttempt) {
-            return;
-        }
-        boolean serverError = head.status() >= 500;
-        mHistory.countPossibleRun();
-        mRecord.add(
-                StepKind.ANSWERED, from.server().id().value(), "status=" + head.status(), now());
-        if (serverError
-                && mRequest.route().idempotent()
-                && mHistory.allowsAnother(mRequest.route())
-                && retry()) {
-            mHistory.exclude(from.server().id());
-            mAttempt = null;
-            place();
-            return;
-        }
-        mAttempt = null;
-        mSink.head(head);
-        mSink.endWith(ByteBuffer.wrap(body));
-        end(head.status() < 300 ? "completed" : "answered_" + head.status());
+        mActions.decide(
+                () -> {
+                    if (isNotCurrent(from)) {
+                        return;
+                    }
+                    mPlacement.history().countPossibleRun();
+                    record(StepKind.ANSWERED, from, "status=" + head.status());
+                    mPlacement.clear();
+                    if (head.status() >= 500
+                            && mRequest.route().idempotent()
+                            && mPlacement.mayRetry(mRecord)) {
+                        mPlacement.history().exclude(from.server().id());
+                        refuseUnless(mPlacement.place());
+                    } else {
+                        mAnswer.whole(head, body);
+                        end(head.status() < 300 ? "completed" : "answered_" + head.status());
+                    }
+                });
     }
 
     /**
@@ -218,39 +223,27 @@
     CompletableFuture<Void> events(
             GatewayAttempt from, AnswerHead head, ByteBuffer events, String lastId) {
         AtomicReference<CompletableFuture<Void>> written = new AtomicReference<>();
-        mActions.decide(() -> written.set(forwardEvents(from, head, events, lastId)));
-        return written.get();
-    }
-
-    /**
-     * Implements {@link #events} under the lock.
-     *
-     * @param from the attempt
-     * @param head status and header fields
-     * @param events the bytes of complete events
-     * @param lastId the id of the last of them
-     * @return completes when the caller has room for more
-     */
-    private CompletableFuture<Void> forwardEvents(
-            GatewayAttempt from, AnswerHead head, ByteBuffer events, String lastId) {
-        if (mEnded || from != mAttempt) {
-            return CompletableFuture.failedFuture(
-                    new IllegalStateException("not the current attempt"));
-        }
-        if (!mHeadSent) {
-            mHeadSent = true;
-            mRecord.add(StepKind.FIRST_EVENT, from.server().id().value(), "", now());
-            mSink.head(head);
-        }
-        mLastEventId = lastId.isEmpty() ? mLastEventId : lastId;
-        CompletableFuture<Void> written = mSink.write(events);
-        written.whenComplete(
-                (ignored, failure) -> {
-                    if (failure != null) {
-                        callerGone();
+        mActions.decide(
+                () -> {
+                    if (isNotCurrent(from)) {
+                        IllegalStateException late = new IllegalStateException("attempt has ended");
+                        written.set(CompletableFuture.failedFuture(late));
+                        return;
+                    }
+                    if (!mAnswer.begun()) {
+                        record(StepKind.FIRST_EVENT, from, "");
+                        mAnswer.begin(head);
                     }
+                    written.set(mAnswer.events(events, lastId));
+                    written.get()
+                            .whenComplete(
+                                    (ignored, failure) -> {
+                                        if (failure != null) {
+                                            callerGone();
+                                        }
+                                    });
                 });
-        return written;
+        return written.get();
     }
 
     /**
@@ -262,14 +255,11 @@
     void streamEnded(GatewayAttempt from, AnswerHead head) {
         mActions.decide(
                 () -> {
-                    if (mEnded || from != mAttempt) {
+                    if (isNotCurrent(from)) {
                         return;
                     }
-                    mAttempt = null;
-                    if (!mHeadSent) {
-                        mSink.head(head);
-                    }
-                    mSink.end();
+                    mPlacement.clear();
+                    mAnswer.endStream(head);
                     end("completed");
                 });
     }
@@ -282,81 +272,96 @@
      * @param detail one sentence for the log record
      */
     void failed(GatewayAttempt failed, BackendFailure failure, String detail) {
-        mActions.decide(() -> handleFailure(failed, failure, detail));
+        mActions.decide(() -> onFailure(failed, failure, detail));
     }
 
     /**
-     * Retries after a failed attempt where that is allowed, and ends the request otherwise.
+     * Implements {@link #failed} under the lock.
      *
      * @param failed the attempt
      * @param failure the kind of failure
      * @param detail one sentence for the log record
      */
-    private void handleFailure(GatewayAttempt failed, BackendFailure failure, String detail) {
-        if (mEnded || failed != mAttempt) {
+    private void onFailure(GatewayAttempt failed, BackendFailure failure, String detail) {
+        if (isNotCurrent(failed)) {
             return;
         }
-        mAttempt = null;
-        mRecord.add(StepKind.valueOf(failure.name()), failed.server().id().value(), detail, now());
+        mPlacement.clear();
+        record(StepKind.valueOf(failure.name()), failed, detail);
         if (failure != BackendFailure.HELD_BACK) {
-            mHistory.exclude(failed.server().id());
+            mPlacement.history().exclude(failed.server().id());
         }
         if (failure.mayHaveRun()) {
-            mHistory.countPossibleRun();
+            mPlacement.history().countPossibleRun();
         }
         if (failure.mayHaveRun() && !mRequest.route().idempotent()) {
             fail(failure.errorKind());
-        } else if (!mHistory.allowsAnother(mRequest.route()) || !retry()) {
-            fail(mHistory.mayHaveBeenExecuted() ? failure.errorKind() : ErrorKind.BACKEND_REFUSED);
+        } else if (!mPlacement.mayRetry(mRecord)) {
+            fail(
+                    mPlacement.history().mayHaveBeenExecuted()
+                            ? failure.errorKind()
+                            : ErrorKind.BACKEND_REFUSED);
         } else {
-            mWaitingSinceNanos = now();
-            place();
+            mPlacement.waiting().restart(mAnswer.begun());
+            refuseUnless(mPlacement.place());
         }
     }
 
-    /** Starts an attempt on a backend server, or lets the request wait until its wait limit. */
-    private void place() {
-        ServerChoice choice = mParts.pool().choose(mRequest, mHistory.excluded());
-        if (choice instanceof ServerChoice.Start start) {
-            mHistory.sent();
-            mRecord.add(StepKind.SENT, start.server().id().value(), start.reason(), now());
-            TryOrder order =
-                    new TryOrder(
-                            mRequest,
-                            start.server().entry(),
-                            mRequest.deadlineNanos(),
-                            mLastEventId);
-            mAttempt = new GatewayAttempt(this, start, mParts, order);
-            mActions.add(mAttempt::start);
-            return;
-        }
-        mWaitKind = ((ServerChoice.Wait) choice).kind();
-        double waitedMillis = (now() - mWaitingSinceNanos) / (double) NANOS_PER_MILLI;
-        if (waitedMillis >= MAX_WAIT_SHARE * mRequest.route().targetMillis()) {
-            fail(mWaitKind);
+    /**
+     * Refuses the request if no backend server can answer it in time.
+     *
+     * @param placed whether an attempt has begun or the request waits
+     */
+    private void refuseUnless(boolean placed) {
+        if (!placed) {
+            fail(mPlacement.waiting().kind());
         }
     }
 
     /**
-     * Takes one retry from the retry budget.
+     * Counts an attempt that is about to be sent.
      *
-     * @return true if the budget allows it
+     * @param attempt the attempt
+     * @return true if it may be sent; false if it is no longer the current attempt
      */
-    private boolean retry() {
-        boolean allowed = mParts.pool().tryRetry(mRequest);
-        if (!allowed) {
-            mRecord.add(StepKind.BUDGET_USED_UP, "", "", now());
-        }
-        return allowed;
+    boolean permitted(GatewayAttempt attempt) {
+        AtomicBoolean current = new AtomicBoolean();
+        mActions.decide(
+                () -> {
+                    current.set(!isNotCurrent(attempt));
+                    if (current.get()) {
+                        mPlacement.sent();
+                        record(StepKind.SENT, attempt, attempt.reason());
+                    }
+                });
+        return current.get();
+    }
+
+    /**
+     * Selects another backend server after the home of an engine reported that too many prompts
+     * wait there.
+     *
+     * @param attempt the attempt, which was not sent
+     */
+    void busy(GatewayAttempt attempt) {
+        mActions.decide(
+                () -> {
+                    if (!isNotCurrent(attempt)) {
+                        refuseUnless(mPlacement.busy());
+                    }
+                });
     }
 
     /** Ends the request at its deadline. */
     private void expire() {
-        if (mAttempt != null) {
-            mHistory.countPossibleRun();
+        if (mPlacement.attempt() != null) {
+            mPlacement.history().countPossibleRun();
         }
         giveUpRunning();
-        fail(mHistory.mayHaveBeenExecuted() ? ErrorKind.BACKEND_TIMEOUT : mWaitKind);
+        fail(
+                mPlacement.history().mayHaveBeenExecuted()
+                        ? ErrorKind.BACKEND_TIMEOUT
+                        : mPlacement.waiting().kind());
     }
 
     /**
@@ -365,15 +370,11 @@
      * @param kind the error kind
      */
     private void fail(ErrorKind kind) {
-        boolean ran = mHistory.mayHaveBeenExecuted();
+        boolean ran = mPlacement.history().mayHaveBeenExecuted();
         ErrorKind reported =
                 ran && kind.executed() == Executed.NO ? ErrorKind.BACKEND_FAILED : kind;
-        if (mHeadSent) {
-            mSink.breakOff();
-        } else {
-            mSink.refuse(Refusal.of(reported), ran ? 0 : mRequest.retryAfterMillis(now()));
-        }
-        end((mHeadSent ? "broken_off_" : "refused_") + reported.text());
+        mAnswer.fail(Refusal.of(reported), ran ? 0 : mPlacement.waiting().retryAfterMillis());
+        end((mAnswer.begun() ? "broken_off_" : "refused_") + reported.text());
     }
 
     /**
@@ -392,7 +393,7 @@
      */
     private void end(String outcome) {
         mEnded = true;
-        mAttempt = null;
+        mPlacement.end();
         mParts.log().ended(mRecord, outcome, now());
         mOnEnd.accept(this);
     }
--- a/router/src/main/java/org/magnoliaseam/gateway/GatewayParts.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/GatewayParts.java
@@ -1,5 +1,7 @@
 package org.magnoliaseam.gateway;
 
+import org.magnoliaseam.permit.EnginePermits;
+import org.magnoliaseam.permit.PermitSender;
 import org.magnoliaseam.time.MonotonicClock;
 
 /**
@@ -7,8 +9,40 @@
  *
  * @param pool chooses backend servers
  * @param port sends attempts to backend servers
+ * @param permits asks for permits of engines
+ * @param waiting holds the requests that wait for a backend server
  * @param log writes the log record of each request
  * @param clock the clock
  */
 public record GatewayParts(
-        ServerPool pool, AttemptSender port, RequestLog log, MonotonicClock clock) {}
+        ServerPool pool,
+        AttemptSender port,
+        EnginePermits permits,
+        WaitingCalls waiting,
+        RequestLog log,
+        MonotonicClock clock) {
+
+    /**
+     * Creates the components for a pool, without waiting requests.
+     *
+     * @param pool chooses backend servers
+     * @param port sends attempts to backend servers
+     * @param peers sends messages about permits to other entry VMs
+     * @param log writes the log record of each request
+     * @param clock the clock
+     */
+    public GatewayParts(
+            ServerPool pool,
+            AttemptSender port,
+            PermitSender peers,
+            RequestLog log,
+            MonotonicClock clock) {
+        this(
+                pool,
+                port,
+                new EnginePermits(peers, pool::membership, clock),
+                new WaitingCalls(clock),
+                log,
+                clock);
+    }
+}
--- a/router/src/main/java/org/magnoliaseam/gateway/GatewayRequest.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/GatewayRequest.java
@@ -44,12 +44,6 @@
     /** The number of route priorities within one account priority. */
     private static final int ROUTE_PRIORITIES = 3;
 
-    /** The delay before a refused caller may retry, as a fraction of the time to the deadline. */
-    private static final double RETRY_DELAY_SHARE = 0.2;
-
-    /** The longest delay before a refused caller may retry, in milliseconds. */
-    private static final long MAX_RETRY_DELAY_MILLIS = 100;
-
     /** The number of nanoseconds in a millisecond. */
     private static final long NANOS_PER_MILLI = 1_000_000;
 
@@ -66,13 +60,32 @@
     }
 
     /**
-     * Returns the delay after which a refused caller may retry.
+     * Returns the name of the client account.
+     *
+     * @return the name; empty if the route is open
+     */
+    String accountName() {
+        return account.map(found -> found.id().value()).orElse("");
+    }
+
+    /**
+     * Returns the local monotonic time at which the caller gives up if it has no answer, or no
+     * event of a stream, by then.
+     *
+     * @return the local monotonic time
+     */
+    public long firstEventDeadlineNanos() {
+        return eventDeadlineNanos(arrivedNanos);
+    }
+
+    /**
+     * Returns the local monotonic time at which the caller gives up without a further event.
      *
-     * @param nowNanos the local monotonic time
-     * @return the delay in milliseconds; 0 if no time is left
+     * @param lastNanos the local monotonic time of the last event, or of the arrival
+     * @return the local monotonic time
      */
-    long retryAfterMillis(long nowNanos) {
-        long left = (deadlineNanos - nowNanos) / NANOS_PER_MILLI;
-        return Math.max(0, Math.min(MAX_RETRY_DELAY_MILLIS, (long) (left * RETRY_DELAY_SHARE)));
+    long eventDeadlineNanos(long lastNanos) {
+        long patience = lastNanos + route.patienceMillis() * NANOS_PER_MILLI;
+        return patience - deadlineNanos < 0 ? patience : deadlineNanos;
     }
 }
--- a/router/src/main/java/org/magnoliaseam/gateway/Prompt.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/Prompt.java
@@ -23,6 +23,19 @@
         return parts.size() < 2 ? parts : parts.subList(0, parts.size() - 1);
     }
 
+    /**
+     * Returns the tokens that are specific to the request.
+     *
+     * @return the tokens of the prompt beyond its shared parts
+     */
+    public long ownTokens() {
+        long shared = 0;
+        for (PromptPart part : sharedParts()) {
+            shared += part.tokens();
+        }
+        return parts.size() < 2 ? tokens : Math.max(0, tokens - shared);
+    }
+
     /**
      * Returns the key that selects the preferred backend server of the prompt.
      *
--- a/router/src/main/java/org/magnoliaseam/gateway/ServerChoice.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/ServerChoice.java
@@ -10,10 +10,18 @@
      *
      * @param server the backend server
      * @param uncachedTokens the prompt tokens that it has to process, since it does not cache them
-     * @param alone whether no other prompt waited for processing there
+     * @param limitTokens the prompt tokens that may wait at the engine before its own; negative for
+     *     a plain service
+     * @param measurable whether the time to the first event measures the processing speed: no other
+     *     prompt waited there, and the shared parts were cached there, as far as is known
      * @param reason the inputs of the decision, for the log
      */
-    record Start(BackendServerState server, long uncachedTokens, boolean alone, String reason)
+    record Start(
+            BackendServerState server,
+            long uncachedTokens,
+            long limitTokens,
+            boolean measurable,
+            String reason)
             implements ServerChoice {}
 
     /**
--- a/router/src/main/java/org/magnoliaseam/gateway/ServerPool.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/ServerPool.java
@@ -2,12 +2,8 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Set;
-import java.util.TreeMap;
-import java.util.function.Predicate;
 import java.util.function.Supplier;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -32,20 +28,11 @@
  */
 public final class ServerPool implements GossipListener {
 
-    /**
-     * The time after an outage of the publisher in which expired entries may be published again, in
-     * nanoseconds.
-     */
-    private static final long REAPPEAR_NANOS = 2_200_000_000L;
-
-    /** Logs changes of the published backend servers and of the other entry VMs. */
+    /** Logs changes of the other entry VMs. */
     private static final Logger LOG = LogManager.getLogger("board");
 
-    /** The backend servers that are published. */
-    private final Map<BackendServerId, BackendServerState> mServers = new TreeMap<>();
-
-    /** The failure domains that are out of service. */
-    private final Set<FailureDomain> mOutOfService = new HashSet<>();
+    /** The published backend servers. */
+    private final ServerRegistry mServers;
 
     /** The retry budget of each service. */
     private final ServiceRetryBudgets mBudgets;
@@ -62,11 +49,8 @@
     /** The clock. */
     private final MonotonicClock mClock;
 
-    /** The backend servers whose entries expired during an outage of the publisher. */
-    private final Set<BackendServerId> mExpired = new HashSet<>();
-
-    /** The local monotonic time up to which expired entries may be published again. */
-    private long mReappearUntilNanos;
+    /** Decides which backend servers have room. */
+    private final ServerRoom mRoom = new ServerRoom(mPeerLoads);
 
     /** Divides limits that apply to all entry VMs together. */
     private final VmShares mShares = new VmShares();
@@ -83,7 +67,7 @@
         mSelector = new ServerSelector(ownDomain, mPeerLoads);
         mBudgets = new ServiceRetryBudgets(retries);
         mClock = clock;
-        mReappearUntilNanos = clock.nanos();
+        mServers = new ServerRegistry(clock.nanos());
     }
 
     /**
@@ -92,20 +76,7 @@
      * @param entry the entry
      */
     public synchronized void published(ServerEntry entry) {
-        mExpired.remove(entry.id());
-        BackendServerState known = mServers.get(entry.id());
-        if (known == null) {
-            mServers.put(entry.id(), new BackendServerState(entry, mClock.nanos()));
-        } else {
-            known.update(entry, mClock.nanos());
-        }
-        LOG.info(
-                "board: published, id={} service={} domain={} draining={} cold_ms={}",
-                entry.id(),
-                entry.service(),
-                entry.failureDomain(),
-                entry.draining(),
-                entry.coldMillis());
+        mServers.published(entry, mClock.nanos());
     }
 
     /**
@@ -113,7 +84,7 @@
      * the outage are published again shortly if their backend servers are alive.
      */
     public synchronized void publisherReturned() {
-        mReappearUntilNanos = mClock.nanos() + REAPPEAR_NANOS;
+        mServers.publisherReturned(mClock.nanos());
     }
 
     /**
@@ -123,25 +94,7 @@
      * @param id the backend server
      */
     public synchronized void withdrawn(BackendServerId id) {
-        BackendServerState state = mServers.get(id);
-        boolean mayReappear = mClock.nanos() - mReappearUntilNanos < 0;
-        if (state != null && mayReappear && !state.entry().draining()) {
-            mExpired.add(id);
-        } else if (mServers.remove(id) != null) {
-            LOG.info("board: backend server removed, id={}", id);
-        }
-    }
-
-    /**
-     * Removes the backend servers that were not published again in time after an outage of the
-     * publisher.
-     */
-    private void removeExpired() {
-        if (!mExpired.isEmpty() && mClock.nanos() - mReappearUntilNanos >= 0) {
-            List<BackendServerId> expired = List.copyOf(mExpired);
-            mExpired.clear();
-            expired.forEach(this::withdrawn);
-        }
+        mServers.withdrawn(id, mClock.nanos());
     }
 
     /**
@@ -150,9 +103,7 @@
      * @param listed the backend servers in the list
      */
     public synchronized void retain(Set<BackendServerId> listed) {
-        List<BackendServerId> missing = new ArrayList<>(mServers.keySet());
-        missing.removeAll(listed);
-        missing.forEach(this::withdrawn);
+        mServers.retain(listed, mClock.nanos());
     }
 
     /**
@@ -161,11 +112,7 @@
      * @param out the failure domains that get no new work
      */
     public synchronized void outOfService(Collection<FailureDomain> out) {
-        if (!mOutOfService.equals(Set.copyOf(out))) {
-            mOutOfService.clear();
-            mOutOfService.addAll(out);
-            LOG.info("board: failure domains out of service, domains={}", mOutOfService);
-        }
+        mServers.outOfService(out);
     }
 
     /**
@@ -174,13 +121,13 @@
      * @return the number of backend servers in the pool
      */
     public synchronized int size() {
-        return mServers.size();
+        return mServers.all().size();
     }
 
     @Override
     public synchronized List<ServerLoad> loads() {
         List<ServerLoad> loads = new ArrayList<>();
-        for (BackendServerState state : mServers.values()) {
+        for (BackendServerState state : mServers.all()) {
             if (state.running() > 0) {
                 loads.add(new ServerLoad(state.id(), state.running(), state.pendingTokens()));
             }
@@ -202,7 +149,7 @@
     public synchronized void heard(PeerEndpoint peer, Digest digest) {
         mPeerLoads.heard(peer, digest, mClock.nanos());
         for (PartRead read : digest.reads()) {
-            BackendServerState state = mServers.get(read.server());
+            BackendServerState state = mServers.find(read.server());
             if (state != null) {
                 state.recordPeerPart(read.part(), read.tokens());
             }
@@ -212,7 +159,7 @@
     @Override
     public synchronized void members(Membership members) {
         mPeerLoads.expire(mClock.nanos());
-        removeExpired();
+        mServers.removeExpired(mClock.nanos());
         if (members.vms() != mShares.vms()) {
             LOG.info(
                     "board: entry VMs that share the limits, before={} now={}",
@@ -231,31 +178,106 @@
      */
     synchronized ServerChoice choose(GatewayRequest request, Set<BackendServerId> excluded) {
         long now = mClock.nanos();
-        List<BackendServerState> present = select(state -> present(state, request));
+        List<BackendServerState> present = mServers.inService(request.service().name());
         if (present.isEmpty()) {
             return new ServerChoice.Wait(ErrorKind.NO_BACKEND_SERVER);
         }
-        List<BackendServerState> available = new ArrayList<>();
-        for (BackendServerState state : present) {
-            boolean notExcluded = !excluded.contains(state.id());
-            if (notExcluded && state.admits(request.service(), mShares, now)) {
-                available.add(state);
-            }
-        }
-        List<BackendServerState> healthy = new ArrayList<>(available);
-        healthy.removeIf(state -> state.failures().ejected(state.running(), now));
-        List<BackendServerState> candidates = healthy.isEmpty() ? available : healthy;
-        candidates.removeIf(state -> full(state, now));
+        List<BackendServerState> candidates = candidates(request, present, excluded, now);
         if (candidates.isEmpty()) {
             return new ServerChoice.Wait(ErrorKind.OVERLOADED);
         }
         BackendServerState chosen = mSelector.choose(request, present, candidates, now);
         String reason = mSelector.describe(request, chosen, candidates.size(), now);
-        boolean alone = chosen.waitingTokens(mPeerLoads) == 0;
+        boolean idle = chosen.waitingTokens(mPeerLoads, now) == 0;
         long tokens = chosen.start(request, mShares, now);
-        mSelector.started(request, tokens, now);
-        mRecentParts.sent(chosen.id(), request.prompt());
-        return new ServerChoice.Start(chosen, tokens, alone, reason);
+        boolean measurable = idle && tokens <= request.prompt().ownTokens();
+        long limit = mRoom.limitTokens(request, chosen, now);
+        return new ServerChoice.Start(chosen, tokens, limit, measurable, reason);
+    }
+
+    /**
+     * Selects the backend servers that may run a request now. Ejected ones are used only if there
+     * is no other.
+     *
+     * @param request the request
+     * @param present the backend servers of the service that are in service
+     * @param excluded the backend servers that get no further attempt of the request
+     * @param now the local monotonic time
+     * @return the backend servers that have room
+     */
+    private List<BackendServerState> candidates(
+            GatewayRequest request,
+            List<BackendServerState> present,
+            Set<BackendServerId> excluded,
+            long now) {
+        List<BackendServerState> healthy = new ArrayList<>(present.size());
+        List<BackendServerState> ejected = new ArrayList<>();
+        boolean anyHealthy = false;
+        long target = mRoom.strictestTarget(request, now);
+        for (BackendServerState state : present) {
+            if (excluded.contains(state.id()) || !state.admits(request.service(), mShares, now)) {
+                continue;
+            }
+            boolean sound = !state.failures().ejected(state.running(), now);
+            anyHealthy |= sound;
+            if (mRoom.hasRoom(request, state, target, now)) {
+                (sound ? healthy : ejected).add(state);
+            }
+        }
+        return anyHealthy ? healthy : ejected;
+    }
+
+    /**
+     * Records the prompt tokens that wait at an engine, as counted by its home.
+     *
+     * @param server the engine
+     * @param tokens the tokens
+     */
+    synchronized void backlog(BackendServerState server, long tokens) {
+        server.backlog(tokens, mClock.nanos());
+    }
+
+    /**
+     * Records that the home of an engine refused a permit.
+     *
+     * @param server the engine
+     * @param tokens the prompt tokens that wait there
+     */
+    synchronized void permitRefused(BackendServerState server, long tokens) {
+        server.backlog(tokens, mClock.nanos());
+        server.permitRefused(mClock.nanos());
+    }
+
+    /**
+     * Returns the entry VMs that share limits.
+     *
+     * @return the membership
+     */
+    public synchronized Membership membership() {
+        return mShares.members();
+    }
+
+    /**
+     * Predicts the shortest time from a start to the first event or the answer of a request.
+     *
+     * @param request the request
+     * @return the time in milliseconds
+     */
+    synchronized double fastestAnswerMillis(GatewayRequest request) {
+        return ServerRoom.fastestAnswerMillis(
+                request, mServers.inService(request.service().name()));
+    }
+
+    /**
+     * Records that an attempt is sent.
+     *
+     * @param start the selected backend server
+     * @param request the request
+     */
+    synchronized void sent(ServerChoice.Start start, GatewayRequest request) {
+        start.server().sent(request);
+        mSelector.started(request, start.uncachedTokens(), mClock.nanos());
+        mRecentParts.sent(start.server().id(), request.prompt());
     }
 
     /**
@@ -266,8 +288,8 @@
      * @return true if it is published, in service and not draining
      */
     synchronized boolean confirm(TryOrder order) {
-        BackendServerState state = mServers.get(order.server().id());
-        return state != null && present(state, order.request());
+        BackendServerState state = mServers.find(order.server().id());
+        return state != null && mServers.isInService(state, order.request().service().name());
     }
 
     /**
@@ -337,7 +359,9 @@
      * @param request the request
      */
     synchronized void firstTry(GatewayRequest request) {
-        mBudgets.firstTry(request.service().name(), mClock.nanos());
+        long now = mClock.nanos();
+        mBudgets.firstTry(request.service().name(), now);
+        mRoom.arrived(request, now);
     }
 
     /**
@@ -349,46 +373,4 @@
     synchronized boolean tryRetry(GatewayRequest request) {
         return mBudgets.take(request.service().name(), mShares.vms(), mClock.nanos());
     }
-
-    /**
-     * Tells whether a backend server may get new work for a request.
-     *
-     * @param state the backend server
-     * @param request the request
-     * @return true if it belongs to the service, is in service and not draining
-     */
-    private boolean present(BackendServerState state, GatewayRequest request) {
-        ServerEntry entry = state.entry();
-        return entry.service().equals(request.service().name())
-                && !entry.draining()
-                && !mOutOfService.contains(entry.failureDomain());
-    }
-
-    /**
-     * Tells whether all slots of a backend server are occupied.
-     *
-     * @param state the backend server
-     * @param nowNanos the local monotonic time
-     * @return true if at least as many requests run and wait there as it has slots
-     */
-    private boolean full(BackendServerState state, long nowNanos) {
-        int slots = state.entry().slots();
-        return slots > 0 && state.occupied(mPeerLoads, nowNanos) >= slots;
-    }
-
-    /**
-     * Selects backend servers.
-     *
-     * @param condition accepts the servers to select
-     * @return the selected ones in the order of their ids
-     */
-    private List<BackendServerState> select(Predicate<BackendServerState> condition) {
-        List<BackendServerState> selected = new ArrayList<>();
-        for (BackendServerState state : mServers.values()) {
-            if (condition.test(state)) {
-                selected.add(state);
-            }
-        }
-        return selected;
-    }
 }
--- a/router/src/main/java/org/magnoliaseam/gateway/ServerSelector.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/ServerSelector.java
@@ -1,13 +1,9 @@
 package org.magnoliaseam.gateway;
 
 import java.util.ArrayList;
-import java.util.Collections;
-import java.util.Comparator;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import org.magnoliaseam.catalog.ServerEntry;
 import org.magnoliaseam.gossip.Demand;
 import org.magnoliaseam.membership.StableHash;
@@ -99,23 +95,15 @@
             List<BackendServerState> candidates,
             long nowNanos) {
         if (request.service().engine().isEmpty()) {
-            return cheapest(request, candidates, Set.of(), nowNanos);
+            return cheapest(request, candidates, EngineGroups.Group.ALL, nowNanos);
         }
         EngineGroups.Group group = groups(request).group(request, present, nowNanos);
-        List<BackendServerState> own = new ArrayList<>(candidates);
-        own.retainAll(group.own());
-        if (!own.isEmpty()) {
-            BackendServerState preferred = preferred(request.prompt().affinityKey(), own);
-            double limit = AFFINITY_COST_SHARE * request.route().targetMillis();
-            if (cost(request, preferred, nowNanos) <= limit) {
-                return preferred;
-            }
+        BackendServerState preferred = preferred(request.prompt().affinityKey(), candidates, group);
+        double limit = AFFINITY_COST_SHARE * request.route().targetMillis();
+        if (preferred != null && cost(request, preferred, nowNanos) <= limit) {
+            return preferred;
         }
-        List<BackendServerState> allowed = new ArrayList<>(candidates);
-        allowed.removeIf(
-                state -> !group.own().contains(state) && !group.overflow().contains(state));
-        Set<BackendServerState> overflow = new HashSet<>(group.overflow());
-        return cheapest(request, allowed.isEmpty() ? candidates : allowed, overflow, nowNanos);
+        return cheapest(request, candidates, group, nowNanos);
     }
 
     /**
@@ -155,13 +143,20 @@
      *
      * @param key the affinity key of the prompt
      * @param candidates the backend servers
-     * @return the one with the highest rendezvous weight
+     * @param group the engines for requests of its kind
+     * @return the engine of the group with the highest rendezvous weight; null if the group has
+     *     none
      */
-    private static BackendServerState preferred(String key, List<BackendServerState> candidates) {
+    private static BackendServerState preferred(
+            String key, List<BackendServerState> candidates, EngineGroups.Group group) {
+        long keyHash = StableHash.of(key, 0);
         BackendServerState best = null;
         long bestWeight = 0;
         for (BackendServerState candidate : candidates) {
-            long weight = StableHash.of(key + '/' + candidate.id().value(), 0);
+            if (!group.isOwn(candidate)) {
+                continue;
+            }
+            long weight = StableHash.mix(keyHash ^ candidate.hash());
             if (best == null || Long.compareUnsigned(weight, bestWeight) > 0) {
                 best = candidate;
                 bestWeight = weight;
@@ -171,28 +166,42 @@
     }
 
     /**
-     * Returns the backend server with the lowest cost.
+     * Returns the backend server with the lowest cost. The engines of requests that tolerate only
+     * shorter pauses are avoided as long as there are others.
      *
      * @param request the request
      * @param candidates the backend servers
-     * @param overflow the backend servers that are reserved for requests that tolerate longer
-     *     pauses
+     * @param group the engines for requests of its kind
      * @param nowNanos the local monotonic time
      * @return the backend server with the lowest cost; among equals one in the own failure domain
      */
     private BackendServerState cheapest(
             GatewayRequest request,
             List<BackendServerState> candidates,
-            Set<BackendServerState> overflow,
+            EngineGroups.Group group,
             long nowNanos) {
         double overflowCost = OVERFLOW_COST * request.route().targetMillis();
-        return Collections.min(
-                candidates,
-                Comparator.comparingDouble(
-                                (BackendServerState state) ->
-                                        cost(request, state, nowNanos)
-                                                + (overflow.contains(state) ? overflowCost : 0))
-                        .thenComparing(state -> !isLocal(state.entry())));
+        BackendServerState best = null;
+        boolean bestReserved = true;
+        double bestCost = 0;
+        for (BackendServerState candidate : candidates) {
+            boolean overflow = group.isOverflow(candidate);
+            boolean reserved = !overflow && !group.isOwn(candidate);
+            double cost = cost(request, candidate, nowNanos) + (overflow ? overflowCost : 0);
+            boolean better =
+                    reserved != bestReserved
+                            ? bestReserved
+                            : cost < bestCost
+                                    || cost == bestCost
+                                            && isLocal(candidate.entry())
+                                            && !isLocal(best.entry());
+            if (best == null || better) {
+                best = candidate;
+                bestReserved = reserved;
+                bestCost = cost;
+            }
+        }
+        return best;
     }
 
     /**
@@ -219,7 +228,7 @@
         double occupancy = state.occupied(mPeerLoads, nowNanos) / slots;
         double failures = FAILURE_COST * state.failures().rate() * target;
         long uncached = state.uncachedTokens(request.prompt());
-        double wait = state.processingMillis(state.waitingTokens(mPeerLoads));
+        double wait = state.processingMillis(state.waitingTokens(mPeerLoads, nowNanos));
         double processing = PROCESSING_COST * state.processingMillis(uncached);
         return wait + processing + occupancy * target + failures;
     }
--- a/router/src/main/java/org/magnoliaseam/gateway/VmShares.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/VmShares.java
@@ -37,6 +37,15 @@
         mMembers = members;
     }
 
+    /**
+     * Returns the entry VMs that may be alive.
+     *
+     * @return the membership
+     */
+    Membership members() {
+        return mMembers;
+    }
+
     /**
      * Returns the number of entry VMs that share each limit.
      *
--- /dev/null
+++ b/router/src/main/java/org/magnoliaseam/gateway/WaitingCalls.java
@@ -0,0 +1,210 @@
+package org.magnoliaseam.gateway;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.magnoliaseam.model.ServiceName;
+import org.magnoliaseam.placement.DrainForecast;
+import org.magnoliaseam.placement.WaitKey;
+import org.magnoliaseam.placement.WaitQueue;
+import org.magnoliaseam.time.MonotonicClock;
+
+/**
+ * Holds the requests that wait for a backend server and starts them in order as soon as one has
+ * room. Thread-safe. Its lock is never held while a request is called.
+ */
+final class WaitingCalls {
+
+    /**
+     * The requests that may be passed over because the restriction that keeps them waiting is their
+     * own, before the rest has to wait too.
+     */
+    private static final int MAX_PASSED_OVER = 8;
+
+    /** The waiting requests of each service. */
+    private final Map<ServiceName, Line> mLines = new HashMap<>();
+
+    /** The clock. */
+    private final MonotonicClock mClock;
+
+    /** The calls of {@link #drain} that have not been handled yet. */
+    private final AtomicInteger mDrains = new AtomicInteger();
+
+    /** Lists the results of trying to start a waiting request. */
+    enum Attempted {
+        /** The request no longer waits. */
+        STARTED,
+        /** No backend server has room for a request like it. */
+        NO_ROOM,
+        /** Backend servers may have room, but not for this request. */
+        RESTRICTED
+    }
+
+    /** Holds the waiting requests of one service. */
+    private static final class Line {
+
+        /** The requests in order. */
+        private final WaitQueue<GatewayCall> mQueue = new WaitQueue<>();
+
+        /** Forecasts their wait. */
+        private final DrainForecast mForecast = new DrainForecast();
+    }
+
+    /**
+     * Creates an empty set of queues.
+     *
+     * @param clock the clock
+     */
+    WaitingCalls(MonotonicClock clock) {
+        mClock = clock;
+    }
+
+    /**
+     * Counts a request that arrived.
+     *
+     * @param request the request
+     */
+    synchronized void arrived(GatewayRequest request) {
+        line(request).mForecast.arrived(request.priority(), mClock.nanos());
+    }
+
+    /**
+     * Tells whether requests of the same or a higher priority wait already.
+     *
+     * @param request the request
+     * @return true if it may not start before them
+     */
+    synchronized boolean mustWait(GatewayRequest request) {
+        return line(request).mQueue.isBefore(request.priority());
+    }
+
+    /**
+     * Forecasts the wait of a new request.
+     *
+     * @param request the request
+     * @return the wait in milliseconds; 0 if it is not known
+     */
+    synchronized double forecastMillis(GatewayRequest request) {
+        Line line = line(request);
+        int ahead = line.mQueue.ahead(request.priority(), request.accountName());
+        return line.mForecast.waitMillis(request.priority(), ahead, mClock.nanos());
+    }
+
+    /**
+     * Adds a request.
+     *
+     * @param call the request, which does not wait yet
+     */
+    synchronized void add(GatewayCall call) {
+        GatewayRequest request = call.request();
+        WaitKey key =
+                new WaitKey(
+                        request.priority(),
+                        request.accountName(),
+                        request.firstEventDeadlineNanos());
+        line(request).mQueue.add(call, key);
+    }
+
+    /**
+     * Records that a request was started.
+     *
+     * @param call the request, which may have waited
+     */
+    synchronized void started(GatewayCall call) {
+        Line line = line(call.request());
+        line.mForecast.started(mClock.nanos());
+        line.mQueue.started(call);
+    }
+
+    /**
+     * Removes a request that no longer waits.
+     *
+     * @param call the request
+     */
+    synchronized void remove(GatewayCall call) {
+        line(call.request()).mQueue.remove(call);
+    }
+
+    /**
+     * Starts as many waiting requests as backend servers have room for. If several threads call
+     * this at once, one of them does the work of all.
+     */
+    void drain() {
+        if (mDrains.getAndIncrement() > 0) {
+            return;
+        }
+        int handled = 1;
+        do {
+            services().forEach(this::drain);
+            handled = mDrains.addAndGet(-handled);
+        } while (handled > 0);
+    }
+
+    /**
+     * Starts waiting requests of one service in order. A request that finds no room stops all of
+     * the same and lower priorities, so that they do not take the room that it waits for.
+     *
+     * @param service the service
+     */
+    private void drain(ServiceName service) {
+        int passedOver = 0;
+        int blockedPriority = Integer.MAX_VALUE;
+        while (passedOver <= MAX_PASSED_OVER) {
+            List<GatewayCall> next = next(service, passedOver + 1);
+            if (next.size() <= passedOver) {
+                return;
+            }
+            GatewayCall call = next.get(passedOver);
+            if (call.request().priority() >= blockedPriority) {
+                return;
+            }
+            Attempted attempted = call.tryStart();
+            if (attempted == Attempted.STARTED) {
+                remove(call);
+                continue;
+            }
+            passedOver++;
+            if (attempted == Attempted.NO_ROOM) {
+                blockedPriority = call.request().priority();
+            }
+        }
+    }
+
+    /**
+     * Returns the first waiting requests of a service.
+     *
+     * @param service the service
+     * @param limit the largest number of requests
+     * @return the requests in order
+     */
+    private synchronized List<GatewayCall> next(ServiceName service, int limit) {
+        return mLines.get(service).mQueue.next(limit);
+    }
+
+    /**
+     * Returns the services that have waiting requests.
+     *
+     * @return the services
+     */
+    private synchronized List<ServiceName> services() {
+        List<ServiceName> services = new ArrayList<>();
+        for (Map.Entry<ServiceName, Line> entry : mLines.entrySet()) {
+            if (entry.getValue().mQueue.size() > 0) {
+                services.add(entry.getKey());
+            }
+        }
+        return services;
+    }
+
+    /**
+     * Returns the queue of the service of a request.
+     *
+     * @param request the request
+     * @return the queue
+     */
+    private Line line(GatewayRequest request) {
+        return mLines.computeIfAbsent(request.service().name(), name -> new Line());
+    }
+}
--- a/router/src/main/java/org/magnoliaseam/gossip/GossipNode.java
+++ b/router/src/main/java/org/magnoliaseam/gossip/GossipNode.java
@@ -102,13 +102,15 @@
      * Opens the socket and begins to send and receive.
      *
      * @param timers runs the periodic task
+     * @param receiver receives the datagrams that are not digests
      * @throws IOException if the socket cannot be opened
      */
-    public void start(ScheduledExecutorService timers) throws IOException {
+    public void start(ScheduledExecutorService timers, DatagramReceiver receiver)
+            throws IOException {
         mSocket = new DatagramSocket(mAddress);
-        Thread receiver = new Thread(this::receive, "gossip");
-        receiver.setDaemon(true);
-        receiver.start();
+        Thread thread = new Thread(() -> receive(receiver), "gossip");
+        thread.setDaemon(true);
+        thread.start();
         timers.scheduleWithFixedDelay(
                 this::send, INTERVAL_MILLIS, INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
     }
@@ -124,10 +126,10 @@
     private void send() {
         try {
             long now = mClock.nanos();
-            mListener.members(mPeers.membership(now));
             int peers = mPeers.live(now).size();
             mIntervals++;
             if (peers <= FAN_OUT || mIntervals % LARGE_FLEET_INTERVALS == 0) {
+                mListener.members(mPeers.membership(now));
                 sendDigest(peers, now);
             }
         } catch (IOException | RuntimeException e) {
@@ -164,15 +166,35 @@
         }
     }
 
-    /** Receives digests until the socket is closed. */
-    private void receive() {
+    /**
+     * Sends a datagram that is not a digest; it may be lost.
+     *
+     * @param peer the entry VM
+     * @param bytes the bytes
+     */
+    public void send(PeerEndpoint peer, byte[] bytes) {
+        try {
+            mSocket.send(new DatagramPacket(bytes, bytes.length, peer.address()));
+        } catch (IOException | RuntimeException e) {
+            LOG.debug("gossip: could not send a datagram, cause={}", e.getMessage());
+        }
+    }
+
+    /**
+     * Receives datagrams until the socket is closed.
+     *
+     * @param receiver receives the datagrams that are not digests
+     */
+    private void receive(DatagramReceiver receiver) {
         byte[] buffer = new byte[MAX_DATAGRAM_BYTES];
         while (!mSocket.isClosed()) {
             DatagramPacket packet = new DatagramPacket(buffer, buffer.length);
             try {
                 mSocket.receive(packet);
-                Digest digest = DigestCodec.decode(buffer, packet.getLength());
-                handle(PeerEndpoint.of((InetSocketAddress) packet.getSocketAddress()), digest);
+                PeerEndpoint peer = PeerEndpoint.of((InetSocketAddress) packet.getSocketAddress());
+                if (!receiver.received(peer, buffer, packet.getLength())) {
+                    handle(peer, DigestCodec.decode(buffer, packet.getLength()));
+                }
             } catch (IOException | RuntimeException e) {
                 LOG.debug("gossip: could not process a digest, cause={}", e.getMessage());
             }
--- a/router/src/main/java/org/magnoliaseam/membership/StableHash.java
+++ b/router/src/main/java/org/magnoliaseam/membership/StableHash.java
@@ -50,7 +50,17 @@
         for (byte b : text.getBytes(StandardCharsets.UTF_8)) {
             hash = (hash ^ (b & 0xff)) * FNV_PRIME;
         }
-        hash = (hash ^ hash >>> MIX_SHIFT) * MIX_FIRST;
+        return mix(hash);
+    }
+
+    /**
+     * Spreads the bits of a value over all bits of the result.
+     *
+     * @param value the value, such as the combination of two hashes
+     * @return a hash that is the same in every process
+     */
+    public static long mix(long value) {
+        long hash = (value ^ value >>> MIX_SHIFT) * MIX_FIRST;
         hash = (hash ^ hash >>> MIX_SHIFT) * MIX_SECOND;
         return hash ^ hash >>> MIX_SHIFT;
     }
--- /dev/null
+++ b/router/src/main/java/org/magnoliaseam/permit/EnginePermits.java
@@ -0,0 +1,211 @@
+package org.magnoliaseam.permit;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+import org.magnoliaseam.gossip.Membership;
+import org.magnoliaseam.gossip.PeerEndpoint;
+import org.magnoliaseam.time.MonotonicClock;
+
+/**
+ * Asks the homes of engines for permits, and answers for the engines whose home this entry VM is.
+ * Thread-safe. Callbacks run without its lock.
+ */
+public final class EnginePermits {
+
+    /** The time after which an unanswered question is given up, in nanoseconds. */
+    private static final long ANSWER_NANOS = 25_000_000L;
+
+    /** Sends messages to other entry VMs. */
+    private final PermitSender mSender;
+
+    /** Provides the entry VMs that may be alive. */
+    private final Supplier<Membership> mMembers;
+
+    /** The clock. */
+    private final MonotonicClock mClock;
+
+    /** The homes of the engines. */
+    private final EngineHomes mHomes = new EngineHomes();
+
+    /** The permits of the engines whose home this entry VM is. */
+    private final PermitLedger mLedger = new PermitLedger();
+
+    /** The unanswered questions by number. */
+    private final Map<Long, Question> mQuestions = new HashMap<>();
+
+    /** The home that granted each permit, or may have granted it, by number. */
+    private final Map<Long, PeerEndpoint> mGranted = new HashMap<>();
+
+    /** Numbers the permits. */
+    private final AtomicLong mIds = new AtomicLong();
+
+    /**
+     * Holds an unanswered question.
+     *
+     * @param home the entry VM that was asked
+     * @param nanos the local monotonic time of the question
+     * @param callback receives the outcome
+     */
+    private record Question(PeerEndpoint home, long nanos, Consumer<PermitOutcome> callback) {}
+
+    /**
+     * Creates permits.
+     *
+     * @param sender sends messages to other entry VMs
+     * @param members provides the entry VMs that may be alive
+     * @param clock the clock
+     */
+    public EnginePermits(PermitSender sender, Supplier<Membership> members, MonotonicClock clock) {
+        mSender = sender;
+        mMembers = members;
+        mClock = clock;
+    }
+
+    /**
+     * Returns the number of a new permit.
+     *
+     * @return the number
+     */
+    public long nextId() {
+        return mIds.incrementAndGet();
+    }
+
+    /**
+     * Asks for a permit.
+     *
+     * @param ask the question
+     * @param callback receives the outcome, on this thread or another one
+     */
+    public void ask(PermitMessage.Ask ask, Consumer<PermitOutcome> callback) {
+        long now = mClock.nanos();
+        Membership members = mMembers.get();
+        PeerEndpoint home;
+        PermitMessage.Reply own = null;
+        synchronized (this) {
+            home = mHomes.home(ask.server(), members, now);
+            if (home.equals(members.own())) {
+                own = mLedger.ask(home, ask, now);
+                recordGrant(own, home);
+            } else {
+                mQuestions.put(ask.id(), new Question(home, now, callback));
+            }
+        }
+        if (own == null) {
+            mSender.send(home, ask);
+        } else {
+            callback.accept(outcome(own));
+        }
+    }
+
+    /**
+     * Ends a permit; does nothing if it was not granted.
+     *
+     * @param done the notice for its home
+     */
+    public void done(PermitMessage.Done done) {
+        PeerEndpoint home;
+        synchronized (this) {
+            home = mGranted.remove(done.id());
+            if (home != null && home.equals(mMembers.get().own())) {
+                mLedger.done(home, done);
+                return;
+            }
+        }
+        if (home != null) {
+            mSender.send(home, done);
+        }
+    }
+
+    /**
+     * Handles a message of another entry VM.
+     *
+     * @param peer the sender
+     * @param message the message
+     */
+    public void heard(PeerEndpoint peer, PermitMessage message) {
+        if (message instanceof PermitMessage.Ask ask) {
+            PermitMessage.Reply reply;
+            synchronized (this) {
+                reply = mLedger.ask(peer, ask, mClock.nanos());
+            }
+            mSender.send(peer, reply);
+        } else if (message instanceof PermitMessage.Done done) {
+            synchronized (this) {
+                mLedger.done(peer, done);
+            }
+        } else if (message instanceof PermitMessage.Reply reply) {
+            answered(peer, reply);
+        }
+    }
+
+    /** Gives up questions that were not answered in time. */
+    public void tick() {
+        List<Question> late = new ArrayList<>();
+        synchronized (this) {
+            long now = mClock.nanos();
+            mLedger.expire(now);
+            Iterator<Map.Entry<Long, Question>> all = mQuestions.entrySet().iterator();
+            while (all.hasNext()) {
+                Map.Entry<Long, Question> entry = all.next();
+                Question question = entry.getValue();
+                if (now - question.nanos() >= ANSWER_NANOS) {
+                    all.remove();
+                    mHomes.silent(question.home(), now);
+                    mGranted.put(entry.getKey(), question.home());
+                    late.add(question);
+                }
+            }
+        }
+        late.forEach(question -> question.callback().accept(new PermitOutcome.Unknown()));
+    }
+
+    /**
+     * Handles the answer to a question.
+     *
+     * @param peer the sender
+     * @param reply the answer
+     */
+    private void answered(PeerEndpoint peer, PermitMessage.Reply reply) {
+        Question question;
+        synchronized (this) {
+            question = mQuestions.remove(reply.id());
+            mHomes.answered(peer);
+            if (question != null) {
+                recordGrant(reply, peer);
+            }
+        }
+        if (question != null) {
+            question.callback().accept(outcome(reply));
+        }
+    }
+
+    /**
+     * Records which home granted a permit.
+     *
+     * @param reply the answer
+     * @param home the home
+     */
+    private void recordGrant(PermitMessage.Reply reply, PeerEndpoint home) {
+        if (reply.granted()) {
+            mGranted.put(reply.id(), home);
+        }
+    }
+
+    /**
+     * Converts an answer to an outcome.
+     *
+     * @param reply the answer
+     * @return the outcome
+     */
+    private static PermitOutcome outcome(PermitMessage.Reply reply) {
+        return reply.granted()
+                ? new PermitOutcome.Granted(reply.waitingTokens())
+                : new PermitOutcome.Busy(reply.waitingTokens());
+    }
+}
--- a/router/src/main/java/org/magnoliaseam/platform/CatalogDecoder.java
+++ b/router/src/main/java/org/magnoliaseam/platform/CatalogDecoder.java
@@ -31,6 +31,15 @@
     /** The idle timeout of connections if none is published, in milliseconds. */
     private static final long DEFAULT_IDLE_MILLIS = 15_000;
 
+    /** The shortest time after which callers give up a stream without an event, in milliseconds. */
+    private static final long MIN_STREAM_PATIENCE_MILLIS = 2000;
+
+    /** The patience of callers of a stream, as a multiple of the target for the first event. */
+    private static final long PATIENCE_TARGETS = 4;
+
+    /** The patience of callers of a stream, as a multiple of the target for pauses. */
+    private static final long PATIENCE_PAUSES = 8;
+
     /** Milliseconds per second. */
     private static final double MILLIS_PER_SECOND = 1000;
 
@@ -89,21 +98,38 @@
      */
     private static Route route(JsonNode node) {
         long timeout = (long) number(node, "timeout_ms");
+        long target = node.path("target_latency_ms").asLong(timeout);
+        long pause = node.path("gap_target_ms").asLong(0);
+        RequestKind kind = kind(text(node, "kind"));
         return new Route(
                 node.path("name").asText(),
                 text(node, "host").toLowerCase(Locale.ROOT),
                 text(node, "prefix"),
-                kind(text(node, "kind")),
+                kind,
                 shares(node),
                 Math.max(1, node.path("max_attempts").asInt(1)),
                 timeout,
-                node.path("target_latency_ms").asLong(timeout),
-                node.path("gap_target_ms").asLong(0),
+                kind.streamed() ? Math.min(timeout, streamPatience(target, pause)) : timeout,
+                target,
+                pause,
                 node.path("priority").asInt(0),
                 node.path("public").asBoolean(),
                 node.path("stream_resumption").asBoolean());
     }
 
+    /**
+     * Returns the time after which the platform's callers give up a stream without an event.
+     *
+     * @param target the target for the first event in milliseconds
+     * @param pause the target for the longest pause between events in milliseconds
+     * @return the time in milliseconds
+     */
+    private static long streamPatience(long target, long pause) {
+        return Math.max(
+                MIN_STREAM_PATIENCE_MILLIS,
+                Math.max(PATIENCE_TARGETS * target, PATIENCE_PAUSES * pause));
+    }
+
     /**
      * Converts the kind of a route; unknown words count as requests that may run only once.
      *
--- a/router/src/main/java/org/magnoliaseam/route/GatewayFactory.java
+++ b/router/src/main/java/org/magnoliaseam/route/GatewayFactory.java
@@ -24,6 +24,7 @@
 import org.magnoliaseam.gossip.GossipNode;
 import org.magnoliaseam.operator.MetricsPage;
 import org.magnoliaseam.operator.OperatorHandler;
+import org.magnoliaseam.permit.PermitDatagrams;
 import org.magnoliaseam.platform.CallerProtocol;
 import org.magnoliaseam.platform.PlatformFeed;
 import org.magnoliaseam.platform.ServerProtocol;
@@ -92,7 +93,11 @@
         ServerProtocol serverProtocol = new ServerProtocol(client, mClock);
         MetricRegistry metrics = new MetricRegistry();
         RequestLog log = new RequestLog(metrics);
-        Gateway gateway = new Gateway(new GatewayParts(pool, serverProtocol, log, mClock));
+        GossipNode gossip =
+                new GossipNode(mSettings.peersAddress(), mSettings.seeds(), pool, mClock);
+        GatewayParts parts =
+                new GatewayParts(pool, serverProtocol, new PermitDatagrams(gossip), log, mClock);
+        Gateway gateway = new Gateway(parts);
         gauges(metrics, currentCatalog, pool, gateway);
         PlatformFeed feed = new PlatformFeed(mSettings, client, currentCatalog, pool);
         CallerProtocol callers = new CallerProtocol(currentCatalog, gateway, mShutdown, mClock);
@@ -110,7 +115,8 @@
                                 new OperatorHandler(Map.of("metrics", new MetricsPage(metrics))))),
                 client,
                 feed,
-                new GossipNode(mSettings.peersAddress(), mSettings.seeds(), pool, mClock),
+                gossip,
+                PermitDatagrams.receiver(parts.permits()),
                 gateway,
                 Executors.newSingleThreadScheduledExecutor(new NamedThreadFactory("timer")),
                 mShutdown,
--- a/router/src/main/java/org/magnoliaseam/route/GatewayProcess.java
+++ b/router/src/main/java/org/magnoliaseam/route/GatewayProcess.java
@@ -9,6 +9,7 @@
 import org.magnoliaseam.caller.ObservedConnectionFactory;
 import org.magnoliaseam.gateway.Gateway;
 import org.magnoliaseam.gateway.ShutdownState;
+import org.magnoliaseam.gossip.DatagramReceiver;
 import org.magnoliaseam.gossip.GossipNode;
 import org.magnoliaseam.platform.PlatformFeed;
 import org.magnoliaseam.settings.StoreSettings;
@@ -57,6 +58,9 @@
     /** Exchanges state with the other entry VMs. */
     private final GossipNode mGossip;
 
+    /** Receives the other messages of the other entry VMs. */
+    private final DatagramReceiver mReceiver;
+
     /** Runs requests. */
     private final Gateway mGateway;
 
@@ -80,6 +84,7 @@
      * @param client the client, not yet started
      * @param feed watches the metadata store
      * @param gossip exchanges state with the other entry VMs
+     * @param receiver receives the other messages of the other entry VMs
      * @param gateway runs requests
      * @param timers runs the periodic tasks
      * @param shutdown the progress of a planned stop
@@ -92,6 +97,7 @@
             HttpClient client,
             PlatformFeed feed,
             GossipNode gossip,
+            DatagramReceiver receiver,
             Gateway gateway,
             ScheduledExecutorService timers,
             ShutdownState shutdown,
@@ -102,6 +108,7 @@
         mClient = client;
         mFeed = feed;
         mGossip = gossip;
+        mReceiver = receiver;
         mGateway = gateway;
         mTimers = timers;
         mShutdown = shutdown;
@@ -118,7 +125,7 @@
         mClient.start();
         mFeed.start();
         mServer.start();
-        mGossip.start(mTimers);
+        mGossip.start(mTimers, mReceiver);
         mTimers.scheduleWithFixedDelay(this::tick, TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
         mTimers.scheduleWithFixedDelay(
                 () -> mReload.check(false), RELOAD_MILLIS, RELOAD_MILLIS, TimeUnit.MILLISECONDS);
--- a/router/src/test/java/org/magnoliaseam/PureDecisionPackagesTest.java
+++ b/router/src/test/java/org/magnoliaseam/PureDecisionPackagesTest.java
@@ -25,6 +25,7 @@
         "org.magnoliaseam.suspect..",
         "org.magnoliaseam.coldstart..",
         "org.magnoliaseam.share..",
+        "org.magnoliaseam.placement..",
         "org.magnoliaseam.fact..",
         "org.magnoliaseam.membership..",
         "org.magnoliaseam.rollout.."
--- a/router/src/test/java/org/magnoliaseam/gateway/GatewayCallTest.java
+++ b/router/src/test/java/org/magnoliaseam/gateway/GatewayCallTest.java
@@ -46,7 +46,12 @@
             new ServerPool(OWN_DOMAIN, () -> GatewayFixtures.RETRIES, mNow::get);
 
     private final GatewayParts mGatewayParts =
-            new GatewayParts(mPool, mBackend, new RequestLog(new MetricRegistry()), mNow::get);
+            new GatewayParts(
+                    mPool,
+                    mBackend,
+                    (peer, message) -> {},
+                    new RequestLog(new MetricRegistry()),
+                    mNow::get);
 
     private final Gateway mGateway = new Gateway(mGatewayParts);
 
@@ -174,7 +179,11 @@
             Gateway gateway =
                     new Gateway(
                             new GatewayParts(
-                                    mPool, port, new RequestLog(new MetricRegistry()), mNow::get));
+                                    mPool,
+                                    port,
+                                    (peer, message) -> {},
+                                    new RequestLog(new MetricRegistry()),
+                                    mNow::get));
             Route route = route(RequestKind.REPEATABLE, 2, false, 0);
             gateway.submit(request("r1", route, Prompt.NONE), mSink);
             mNow.set(1300 * MILLI);
--- a/router/src/test/java/org/magnoliaseam/gateway/GatewayFixtures.java
+++ b/router/src/test/java/org/magnoliaseam/gateway/GatewayFixtures.java
@@ -55,6 +55,7 @@
                 List.of(new WeightedService(kind.streamed() ? ENGINES : DESK, 1)),
                 maxTries,
                 5000,
+                5000,
                 500,
                 pauseMillis,
                 1,
--- /dev/null
+++ b/router/src/test/java/org/magnoliaseam/gateway/OverloadReplayTest.java
@@ -0,0 +1,262 @@
+package org.magnoliaseam.gateway;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.Random;
+import java.util.function.Predicate;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.magnoliaseam.catalog.Account;
+import org.magnoliaseam.catalog.RequestKind;
+import org.magnoliaseam.catalog.Route;
+import org.magnoliaseam.catalog.WeightedService;
+import org.magnoliaseam.error.Executed;
+import org.magnoliaseam.model.ClientAccountId;
+import org.magnoliaseam.model.RequestId;
+
+/**
+ * Replays load above the capacity of the engines in simulated time. The shares of requests in
+ * target were stated before the first run.
+ */
+class OverloadReplayTest {
+
+    private static final long MILLI = GatewayFixtures.MILLI;
+
+    private static final int GATEWAYS = 6;
+
+    private static final int ENGINES = 8;
+
+    private static final Route STEPS = route("steps", 0, 15_000, 2000, 300, 150);
+
+    private static final Route QUERY = route("query", 1, 3000, 2000, 400, 250);
+
+    private static final Route REVIEW = route("review", 2, 5000, 5000, 1500, 600);
+
+    private final SimulatedFleet mFleet = new SimulatedFleet(GATEWAYS, ENGINES, 1);
+
+    private final Random mRandom = new Random(2);
+
+    private final List<SimulatedFleet.Outcome> mOutcomes = new ArrayList<>();
+
+    private static Route route(
+            String name, int priority, long timeout, long patience, long target, long pause) {
+        return new Route(
+                name,
+                "host.example",
+                "/p/",
+                RequestKind.STREAM,
+                List.of(new WeightedService(GatewayFixtures.ENGINES, 1)),
+                2,
+                timeout,
+                patience,
+                target,
+                pause,
+                priority,
+                false,
+                true);
+    }
+
+    /** Adds requests of a route at random times. */
+    private void load(
+            Route route,
+            double perSecond,
+            int fromMillis,
+            int untilMillis,
+            Prompt prompt,
+            String account) {
+        int count = (int) (perSecond * (untilMillis - fromMillis) / 1000);
+        for (int i = 0; i < count; i++) {
+            long nanos = (fromMillis + mRandom.nextInt(untilMillis - fromMillis)) * MILLI;
+            Prompt own =
+                    new Prompt(
+                            List.of(
+                                    new PromptPart(
+                                            prompt.parts().get(0).id() + mRandom.nextInt(20),
+                                            prompt.parts().get(0).tokens()),
+                                    new PromptPart(
+                                            "own" + mOutcomes.size(),
+                                            prompt.parts().get(1).tokens())),
+                            prompt.tokens(),
+                            prompt.maxOutputTokens());
+            mOutcomes.add(mFleet.request(nanos, request(route, own, account, nanos)));
+        }
+    }
+
+    private GatewayRequest request(Route route, Prompt prompt, String account, long nanos) {
+        return new GatewayRequest(
+                new RequestId("r" + mOutcomes.size()),
+                Optional.of(new Account(new ClientAccountId(account), OptionalInt.empty())),
+                route,
+                GatewayFixtures.service(GatewayFixtures.ENGINES, 0),
+                1,
+                "POST",
+                "/p/1",
+                List.of(),
+                new byte[0],
+                prompt,
+                "",
+                nanos,
+                nanos + route.timeoutMillis() * MILLI);
+    }
+
+    private static Prompt prompt(String shared, int sharedTokens, int ownTokens, int events) {
+        return new Prompt(
+                List.of(new PromptPart(shared, sharedTokens), new PromptPart("own", ownTokens)),
+                sharedTokens + ownTokens,
+                events);
+    }
+
+    private void steps(double perSecond, int from, int until) {
+        load(STEPS, perSecond, from, until, prompt("s", 172, 543, 50), "a" + from);
+    }
+
+    private void queries(double perSecond, int from, int until) {
+        load(QUERY, perSecond, from, until, prompt("q", 568, 1800, 8), "b" + from);
+    }
+
+    private void reviews(double perSecond, int from, int until) {
+        load(REVIEW, perSecond, from, until, prompt("v", 6300, 2890, 15), "c" + from);
+    }
+
+    private List<SimulatedFleet.Outcome> of(Route route, int fromMillis, int untilMillis) {
+        return mOutcomes.stream()
+                .filter(outcome -> outcome.request().route() == route)
+                .filter(outcome -> outcome.request().arrivedNanos() >= fromMillis * MILLI)
+                .filter(outcome -> outcome.request().arrivedNanos() < untilMillis * MILLI)
+                .toList();
+    }
+
+    private static double share(
+            List<SimulatedFleet.Outcome> outcomes, Predicate<SimulatedFleet.Outcome> condition) {
+        return outcomes.stream().filter(condition).count() / (double) outcomes.size();
+    }
+
+    /** Returns the prompt tokens that engines processed for requests that got no whole answer. */
+    private double wastedShare() {
+        double all = 0;
+        double wasted = 0;
+        for (SimulatedFleet.Outcome outcome : mOutcomes) {
+            all += outcome.processedTokens();
+            wasted += outcome.complete() ? 0 : outcome.processedTokens();
+        }
+        return wasted / all;
+    }
+
+    private void assertThatRefusalsAreTrue() {
+        assertThat(mOutcomes)
+                .filteredOn(SimulatedFleet.Outcome::refused)
+                .filteredOn(outcome -> outcome.refusal().kind().executed() == Executed.NO)
+                .allSatisfy(outcome -> assertThat(outcome.runs()).isZero());
+    }
+
+    /** Replays a burst of long prompts beside urgent requests. */
+    @Nested
+    class LongPrompts {
+        private void play() {
+            steps(12, 0, 12_000);
+            queries(30, 0, 12_000);
+            reviews(25, 0, 12_000);
+            reviews(120, 3000, 8000);
+            queries(40, 3000, 8000);
+            mFleet.run(30_000 * MILLI);
+        }
+
+        @Test
+        void urgentRequestsStayInTarget() {
+            play();
+            assertThat(share(of(STEPS, 3000, 8000), SimulatedFleet.Outcome::onTime))
+                    .isGreaterThan(0.95);
+            assertThat(share(of(QUERY, 3000, 8000), SimulatedFleet.Outcome::onTime))
+                    .isGreaterThan(0.9);
+        }
+
+        @Test
+        void longPromptsAreNotStarved() {
+            play();
+            assertThat(share(of(REVIEW, 3000, 8000), SimulatedFleet.Outcome::complete))
+                    .isGreaterThan(0.25);
+        }
+
+        @Test
+        void enginesProcessFewPromptsInVain() {
+            play();
+            assertThat(wastedShare()).isLessThan(0.05);
+        }
+
+        @Test
+        void refusedRequestsWereNotRun() {
+            play();
+            assertThat(share(of(REVIEW, 3000, 8000), SimulatedFleet.Outcome::refused))
+                    .isGreaterThan(0);
+            assertThatRefusalsAreTrue();
+        }
+
+        @Test
+        void serviceIsNormalSoonAfterTheBurst() {
+            play();
+            assertThat(share(of(REVIEW, 11_000, 12_000), SimulatedFleet.Outcome::onTime))
+                    .isGreaterThan(0.9);
+        }
+    }
+
+    /** Replays a crash of a share of the engines. */
+    @Nested
+    class Crash {
+        @Test
+        void urgentRequestsStayInTargetOnTheRemainingEngines() {
+            steps(12, 0, 12_000);
+            queries(40, 0, 12_000);
+            reviews(40, 0, 12_000);
+            mFleet.crash(0, 4000 * MILLI, 8000 * MILLI);
+            mFleet.crash(1, 4000 * MILLI, 8000 * MILLI);
+            mFleet.crash(2, 4000 * MILLI, 8000 * MILLI);
+            mFleet.run(30_000 * MILLI);
+            assertThat(share(of(STEPS, 4500, 8000), SimulatedFleet.Outcome::onTime))
+                    .isGreaterThan(0.95);
+            assertThat(share(of(QUERY, 4500, 8000), SimulatedFleet.Outcome::onTime))
+                    .isGreaterThan(0.9);
+            assertThatRefusalsAreTrue();
+        }
+    }
+
+    /** Replays a burst of one client account. */
+    @Nested
+    class HotAccount {
+        @Test
+        void otherAccountsAreServedBesideTheBurst() {
+            load(QUERY, 30, 0, 8000, prompt("q", 568, 1800, 8), "calm");
+            load(QUERY, 250, 3000, 6000, prompt("h", 568, 1800, 8), "hot");
+            mFleet.run(30_000 * MILLI);
+            List<SimulatedFleet.Outcome> calm =
+                    of(QUERY, 3000, 6000).stream()
+                            .filter(
+                                    outcome ->
+                                            outcome.request()
+                                                    .account()
+                                                    .orElseThrow()
+                                                    .id()
+                                                    .value()
+                                                    .equals("calm"))
+                            .toList();
+            assertThat(share(calm, SimulatedFleet.Outcome::complete)).isGreaterThan(0.95);
+        }
+    }
+
+    /** Replays load below the capacity. */
+    @Nested
+    class Calm {
+        @Test
+        void nothingIsRefusedWhileEnginesHaveRoom() {
+            steps(12, 0, 8000);
+            queries(30, 0, 8000);
+            reviews(15, 0, 8000);
+            mFleet.run(30_000 * MILLI);
+            assertThat(mOutcomes).noneMatch(SimulatedFleet.Outcome::refused);
+            assertThat(share(mOutcomes, SimulatedFleet.Outcome::onTime)).isGreaterThan(0.95);
+        }
+    }
+}
--- /dev/null
+++ b/router/src/test/java/org/magnoliaseam/gateway/SimulatedFleet.java
@@ -0,0 +1,355 @@
+package org.magnoliaseam.gateway;
+
+import com.codahale.metrics.MetricRegistry;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Random;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import org.apache.logging.log4j.Level;
+import org.apache.logging.log4j.core.config.Configurator;
+import org.magnoliaseam.backend.BackendFailure;
+import org.magnoliaseam.error.Refusal;
+import org.magnoliaseam.exchange.AnswerHead;
+import org.magnoliaseam.exchange.Cancellation;
+import org.magnoliaseam.gossip.Digest;
+import org.magnoliaseam.gossip.PeerEndpoint;
+import org.magnoliaseam.permit.EnginePermits;
+import org.magnoliaseam.permit.PermitMessage;
+
+/**
+ * Plays requests in simulated time: gateways that exchange digests, and engines that process the
+ * prompts that they have admitted in order of arrival.
+ */
+final class SimulatedFleet {
+
+    /** The time of one event of a stream. */
+    private static final long EVENT_NANOS = 20 * GatewayFixtures.MILLI;
+
+    /** The interval of digests. */
+    private static final long DIGEST_NANOS = 500 * GatewayFixtures.MILLI;
+
+    /** The time of a message between two entry VMs. */
+    private static final long HOP_NANOS = GatewayFixtures.MILLI;
+
+    /** The interval of the periodic checks of requests. */
+    private static final long TICK_NANOS = 20 * GatewayFixtures.MILLI;
+
+    /** The prompt tokens that an engine processes in a millisecond. */
+    private static final double TOKENS_PER_MILLI = 40;
+
+    private final PriorityQueue<Event> mEvents =
+            new PriorityQueue<>(
+                    (a, b) ->
+                            a.mNanos != b.mNanos
+                                    ? Long.compare(a.mNanos, b.mNanos)
+                                    : Long.compare(a.mNumber, b.mNumber));
+
+    private final Map<String, Engine> mEngines = new HashMap<>();
+
+    private final List<ServerPool> mPools = new ArrayList<>();
+
+    private final List<Gateway> mGateways = new ArrayList<>();
+
+    private final Random mRandom;
+
+    private final Map<PeerEndpoint, EnginePermits> mPermits = new HashMap<>();
+
+    private final Map<String, Outcome> mOutcomes = new HashMap<>();
+
+    private long mNow = 1;
+
+    private long mNumber;
+
+    /** Holds an action at a simulated time. */
+    private record Event(long mNanos, long mNumber, Runnable mAction) {}
+
+    /** Processes prompts one after another, in the order of their arrival. */
+    private static final class Engine {
+        private final Set<String> mParts = new HashSet<>();
+        private final Deque<Run> mQueue = new ArrayDeque<>();
+        private boolean mDown;
+    }
+
+    /** Holds one attempt at an engine. */
+    private static final class Run {
+        private final TryOrder mOrder;
+        private final AttemptListener mListener;
+        private boolean mEnded;
+
+        Run(TryOrder order, AttemptListener listener) {
+            mOrder = order;
+            mListener = listener;
+        }
+
+        void fail(BackendFailure failure) {
+            if (!mEnded) {
+                mEnded = true;
+                mListener.failed(failure, "simulated");
+            }
+        }
+    }
+
+    /** Observes the answer of one request. */
+    static final class Outcome implements GatewaySink {
+        private final SimulatedFleet mFleet;
+        private final GatewayRequest mRequest;
+        private long mFirstNanos = -1;
+        private long mEndNanos = -1;
+        private boolean mComplete;
+        private Refusal mRefusal;
+        private int mRuns;
+        private long mProcessedTokens;
+
+        Outcome(SimulatedFleet fleet, GatewayRequest request) {
+            mFleet = fleet;
+            mRequest = request;
+        }
+
+        boolean onTime() {
+            long target = mRequest.route().targetMillis() * GatewayFixtures.MILLI;
+            return mComplete && mFirstNanos - mRequest.arrivedNanos() <= target;
+        }
+
+        boolean complete() {
+            return mComplete;
+        }
+
+        boolean refused() {
+            return mRefusal != null;
+        }
+
+        double heldMillis() {
+            return (mEndNanos - mRequest.arrivedNanos()) / (double) GatewayFixtures.MILLI;
+        }
+
+        GatewayRequest request() {
+            return mRequest;
+        }
+
+        Refusal refusal() {
+            return mRefusal;
+        }
+
+        int runs() {
+            return mRuns;
+        }
+
+        long processedTokens() {
+            return mProcessedTokens;
+        }
+
+        @Override
+        public void head(AnswerHead head) {
+            mFirstNanos = mFleet.mNow;
+        }
+
+        @Override
+        public CompletableFuture<Void> write(ByteBuffer bytes) {
+            return CompletableFuture.completedFuture(null);
+        }
+
+        @Override
+        public void end() {
+            mComplete = true;
+            mEndNanos = mFleet.mNow;
+        }
+
+        @Override
+        public void endWith(ByteBuffer last) {
+            end();
+        }
+
+        @Override
+        public void refuse(Refusal refusal) {
+            mRefusal = refusal;
+            mEndNanos = mFleet.mNow;
+        }
+
+        @Override
+        public void refuse(Refusal refusal, long retryAfterMillis) {
+            refuse(refusal);
+        }
+
+        @Override
+        public void breakOff() {
+            mEndNanos = mFleet.mNow;
+        }
+    }
+
+    SimulatedFleet(int gateways, int engines, long seed) {
+        Configurator.setLevel("records", Level.OFF);
+        mRandom = new Random(seed);
+        for (int vm = 0; vm < gateways; vm++) {
+            ServerPool pool =
+                    new ServerPool(
+                            GatewayFixtures.OWN_DOMAIN, () -> GatewayFixtures.RETRIES, () -> mNow);
+            for (int i = 0; i < engines; i++) {
+                pool.published(GatewayFixtures.server("e" + i, GatewayFixtures.ENGINES, false));
+            }
+            pool.members(GatewayFixtures.members(vm, gateways));
+            mPools.add(pool);
+            PeerEndpoint own = new PeerEndpoint("10.0.0." + vm, 1);
+            GatewayParts parts =
+                    new GatewayParts(
+                            pool,
+                            this::start,
+                            (peer, message) -> deliver(own, peer, message),
+                            new RequestLog(new MetricRegistry()),
+                            () -> mNow);
+            mPermits.put(own, parts.permits());
+            mGateways.add(new Gateway(parts));
+        }
+        for (int i = 0; i < engines; i++) {
+            mEngines.put("e" + i, new Engine());
+        }
+        every(TICK_NANOS, () -> mGateways.forEach(Gateway::tick));
+        every(DIGEST_NANOS, this::exchangeDigests);
+    }
+
+    /** Schedules a request at a random gateway. */
+    Outcome request(long nanos, GatewayRequest request) {
+        Outcome outcome = new Outcome(this, request);
+        mOutcomes.put(request.id().value(), outcome);
+        int vm = mRandom.nextInt(mGateways.size());
+        at(nanos, () -> mGateways.get(vm).submit(request, outcome));
+        return outcome;
+    }
+
+    /** Makes an engine lose its requests and parts, and refuse connections until it returns. */
+    void crash(int engine, long fromNanos, long untilNanos) {
+        Engine crashed = mEngines.get("e" + engine);
+        at(
+                fromNanos,
+                () -> {
+                    crashed.mDown = true;
+                    crashed.mParts.clear();
+                    List<Run> lost = List.copyOf(crashed.mQueue);
+                    crashed.mQueue.clear();
+                    lost.forEach(run -> run.fail(BackendFailure.CONNECTION_LOST));
+                });
+        at(untilNanos, () -> crashed.mDown = false);
+    }
+
+    /** Runs until a simulated time. */
+    void run(long untilNanos) {
+        while (!mEvents.isEmpty() && mEvents.peek().mNanos <= untilNanos) {
+            Event event = mEvents.poll();
+            mNow = event.mNanos;
+            event.mAction.run();
+        }
+    }
+
+    private void at(long nanos, Runnable action) {
+        mEvents.add(new Event(nanos, mNumber++, action));
+    }
+
+    private void every(long nanos, Runnable action) {
+        at(
+                mNow + nanos,
+                () -> {
+                    action.run();
+                    every(nanos, action);
+                });
+    }
+
+    private void deliver(PeerEndpoint from, PeerEndpoint to, PermitMessage message) {
+        at(mNow + HOP_NANOS, () -> mPermits.get(to).heard(from, message));
+    }
+
+    private void exchangeDigests() {
+        for (int from = 0; from < mPools.size(); from++) {
+            ServerPool pool = mPools.get(from);
+            PeerEndpoint peer = new PeerEndpoint("10.0.0." + from, 1);
+            Digest digest =
+                    new Digest(
+                            1,
+                            mNow,
+                            mPools.size(),
+                            List.of(),
+                            pool.loads(),
+                            pool.demands(),
+                            pool.reads(3));
+            for (int to = 0; to < mPools.size(); to++) {
+                if (to != from) {
+                    mPools.get(to).heard(peer, digest);
+                }
+            }
+        }
+    }
+
+    private Cancellation start(TryOrder order, AttemptListener listener) {
+        Engine engine = mEngines.get(order.server().id().value());
+        Run run = new Run(order, listener);
+        if (!listener.sending()) {
+            at(mNow, () -> run.fail(BackendFailure.HELD_BACK));
+        } else if (engine.mDown) {
+            at(mNow, () -> run.fail(BackendFailure.NOT_SENT));
+        } else {
+            mOutcomes.get(order.request().id().value()).mRuns++;
+            engine.mQueue.add(run);
+            if (engine.mQueue.size() == 1) {
+                process(engine);
+            }
+        }
+        return () -> run.fail(BackendFailure.INCOMPLETE);
+    }
+
+    /** Processes the first prompt of an engine that its caller has not given up. */
+    private void process(Engine engine) {
+        while (!engine.mQueue.isEmpty() && engine.mQueue.peek().mEnded) {
+            engine.mQueue.remove();
+        }
+        if (engine.mQueue.isEmpty()) {
+            return;
+        }
+        Run run = engine.mQueue.peek();
+        Prompt prompt = run.mOrder.request().prompt();
+        long tokens = prompt.tokens();
+        for (PromptPart part : prompt.sharedParts()) {
+            tokens -= engine.mParts.add(part.id()) ? 0 : part.tokens();
+        }
+        mOutcomes.get(run.mOrder.request().id().value()).mProcessedTokens += tokens;
+        at(
+                mNow + (long) (tokens / TOKENS_PER_MILLI * GatewayFixtures.MILLI),
+                () -> {
+                    if (engine.mQueue.peek() == run) {
+                        engine.mQueue.remove();
+                        process(engine);
+                        begin(engine, run);
+                    }
+                });
+    }
+
+    private void begin(Engine engine, Run run) {
+        if (!run.mEnded) {
+            run.mListener.head(new AnswerHead(200, List.of()));
+            event(engine, run, 1);
+        }
+    }
+
+    private void event(Engine engine, Run run, int id) {
+        if (engine.mDown) {
+            run.fail(BackendFailure.CONNECTION_LOST);
+        }
+        if (run.mEnded) {
+            return;
+        }
+        String text = "id: " + id + "\ndata: x\n\n";
+        run.mListener.content(ByteBuffer.wrap(text.getBytes(StandardCharsets.UTF_8)));
+        if (id < run.mOrder.request().prompt().maxOutputTokens()) {
+            at(mNow + EVENT_NANOS, () -> event(engine, run, id + 1));
+        } else {
+            run.mEnded = true;
+            run.mListener.ended();
+        }
+    }
+}
--- a/router/src/test/java/org/magnoliaseam/platform/ServerProtocolTest.java
+++ b/router/src/test/java/org/magnoliaseam/platform/ServerProtocolTest.java
@@ -126,6 +126,7 @@
                         List.of(new WeightedService(SERVICE, 1)),
                         1,
                         3000,
+                        3000,
                         300,
                         0,
                         0,
