Fit the time of a prompt, wait for the engine that caches it, keep strict engines free

The speed of engines came from time over tokens, so the fixed time to a first event (some 130 ms there) made engines look five times slower than they read, and the limit of the backlog was as much too tight. Claims are withdrawn once the request runs elsewhere. The limit that leaves room for more urgent requests binds only at engines that these have used within 2 s; the home knows.

--- a/router/src/main/java/org/magnoliaseam/gateway/BackendServerState.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/BackendServerState.java
@@ -5,6 +5,7 @@
 import org.magnoliaseam.catalog.Service;
 import org.magnoliaseam.membership.StableHash;
 import org.magnoliaseam.model.BackendServerId;
+import org.magnoliaseam.placement.PromptTimeModel;
 
 /**
  * Holds the state of one backend server as seen by this entry VM. Guarded by the lock of the server
@@ -12,39 +13,12 @@
  */
 final class BackendServerState {
 
-    /** The time for which an observed backlog replaces the reports of peers, in nanoseconds. */
-    private static final long BACKLOG_VALID_NANOS = 500_000_000L;
-
-    /** The time after the home of the engine refused a permit until it is asked again. */
-    private static final long REFUSED_NANOS = 20_000_000L;
-
-    /** The number of nanoseconds in a millisecond. */
-    private static final double NANOS_PER_MILLI = 1e6;
-
     /** The time for which a reported load is valid, in nanoseconds. */
     private static final long LOAD_VALID_NANOS = 1_000_000_000L;
 
-    /**
-     * The assumed prompt tokens that an engine processes per millisecond, before the first
-     * measurement.
-     */
-    private static final double INITIAL_TOKENS_PER_MILLI = 40;
-
     /** The assumed memory of an engine in tokens, before the first request states it. */
     private static final long INITIAL_MEMORY_TOKENS = 100_000;
 
-    /** The weight of a measurement above the moving average of the processing speed. */
-    private static final double FASTER_WEIGHT = 0.3;
-
-    /**
-     * The weight of a measurement below the moving average. It is smaller, since prompts of other
-     * entry VMs and evicted parts make many measurements too slow, but nothing makes one too fast.
-     */
-    private static final double SLOWER_WEIGHT = 0.05;
-
-    /** The smallest number of tokens from which the processing speed is measured. */
-    private static final int SPEED_TOKENS = 1000;
-
     /** The estimated prompt cache of the backend server. */
     private final PromptCacheEstimate mPromptCache = new PromptCacheEstimate();
 
@@ -78,31 +52,26 @@
     /** The local monotonic time of the reported load. */
     private long mLoadNanos;
 
-    /** The prompt tokens that waited there when the home of the engine answered last. */
-    private long mBacklogTokens;
-
-    /** The local monotonic time of that answer. */
-    private long mBacklogNanos;
+    /** What the home of the engine answered. */
+    private final EngineBacklog mBacklog;
 
-    /** The local monotonic time of the last answer that refused a permit. */
-    private long mRefusedNanos;
-
-    /** The processing speed in prompt tokens per millisecond. */
-    private double mTokensPerMilli = INITIAL_TOKENS_PER_MILLI;
+    /** Predicts the time that a prompt takes. */
+    private final PromptTimeModel mPromptTime;
 
     /**
      * Creates the state of a newly published backend server.
      *
      * @param entry the published entry
+     * @param promptTime predicts the time that a prompt takes, fitted to all engines of the service
      * @param nowNanos the local monotonic time
      */
-    BackendServerState(ServerEntry entry, long nowNanos) {
+    BackendServerState(ServerEntry entry, PromptTimeModel promptTime, long nowNanos) {
+        mPromptTime = promptTime;
         mEntry = entry;
         mHash = StableHash.of(entry.id().value(), 0);
         mColdLimiter = new ColdStartLimiter(nowNanos);
         mLoadNanos = nowNanos - LOAD_VALID_NANOS;
-        mBacklogNanos = nowNanos - BACKLOG_VALID_NANOS;
-        mRefusedNanos = nowNanos - REFUSED_NANOS;
+        mBacklog = new EngineBacklog(nowNanos);
         mColdUntilNanos = nowNanos + entry.coldMillis() * 1_000_000L;
     }
 
@@ -250,16 +219,12 @@
     }
 
     /**
-     * Updates the processing speed with a measured time to the first event.
+     * Returns the model that predicts the time that a prompt takes.
      *
-     * @param tokens the prompt tokens that were processed for it while no other prompt waited
-     * @param millis the time in milliseconds
+     * @return the model
      */
-    void measured(long tokens, double millis) {
-        if (tokens >= SPEED_TOKENS && millis > 0) {
-            double difference = tokens / millis - mTokensPerMilli;
-            mTokensPerMilli += (difference > 0 ? FASTER_WEIGHT : SLOWER_WEIGHT) * difference;
-        }
+    PromptTimeModel promptTime() {
+        return mPromptTime;
     }
 
     /**
@@ -315,51 +280,37 @@
     }
 
     /**
-     * Records the prompt tokens of all entry VMs that wait there, as counted by the home of the
-     * engine.
+     * Returns what the home of the engine answered.
      *
-     * @param tokens the tokens
-     * @param nowNanos the local monotonic time
-     */
-    void backlog(long tokens, long nowNanos) {
-        mBacklogTokens = tokens;
-        mBacklogNanos = nowNanos;
-    }
-
-    /**
-     * Records that the home of the engine refused a permit.
-     *
-     * @param nowNanos the local monotonic time
+     * @return the backlog
      */
-    void permitRefused(long nowNanos) {
-        mRefusedNanos = nowNanos;
+    EngineBacklog backlog() {
+        return mBacklog;
     }
 
     /**
-     * Tells whether the home of the engine has refused a permit just now.
+     * Estimates the prompt tokens of all entry VMs that wait to be processed.
      *
+     * @param peerLoads the load of the other entry VMs at the backend servers
      * @param nowNanos the local monotonic time
-     * @return true if it is not asked again yet
+     * @return the counted tokens while they are valid; what the entry VMs reported otherwise
      */
-    boolean isPermitRefused(long nowNanos) {
-        return nowNanos - mRefusedNanos < REFUSED_NANOS;
+    long waitingTokens(PeerLoads peerLoads, long nowNanos) {
+        return mBacklog.isValid(nowNanos)
+                ? countedTokens(nowNanos)
+                : mPendingTokens + peerLoads.pendingTokens(id());
     }
 
     /**
-     * Estimates the prompt tokens of all entry VMs that wait to be processed.
+     * Estimates the prompt tokens that wait to be processed, without the reports of other entry
+     * VMs, which are too old to keep a request waiting for.
      *
-     * @param peerLoads the load of the other entry VMs at the backend servers
      * @param nowNanos the local monotonic time
      * @return the last counted backlog less what has been processed since, while it is valid; the
-     *     tokens that the entry VMs reported otherwise
+     *     tokens of this entry VM otherwise
      */
-    long waitingTokens(PeerLoads peerLoads, long nowNanos) {
-        long age = nowNanos - mBacklogNanos;
-        if (age >= BACKLOG_VALID_NANOS) {
-            return mPendingTokens + peerLoads.pendingTokens(id());
-        }
-        long processed = (long) (age / NANOS_PER_MILLI * mTokensPerMilli);
-        return Math.max(mPendingTokens, mBacklogTokens - processed);
+    long countedTokens(long nowNanos) {
+        return Math.max(mPendingTokens, mBacklog.tokens(mPromptTime.tokensPerMilli(), nowNanos));
     }
 
     /**
@@ -369,7 +320,7 @@
      * @return the number of tokens
      */
     long tokensWithin(double millis) {
-        return (long) (millis * mTokensPerMilli);
+        return (long) (millis * mPromptTime.tokensPerMilli());
     }
 
     /**
@@ -379,6 +330,6 @@
      * @return the time in milliseconds
      */
     double processingMillis(long tokens) {
-        return tokens / mTokensPerMilli;
+        return tokens / mPromptTime.tokensPerMilli();
     }
 }
--- a/router/src/main/java/org/magnoliaseam/gateway/CallPlacement.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/CallPlacement.java
@@ -1,6 +1,9 @@
 package org.magnoliaseam.gateway;
 
+import java.util.ArrayDeque;
+import java.util.Deque;
 import org.magnoliaseam.error.ErrorKind;
+import org.magnoliaseam.permit.PermitMessage;
 
 /**
  * Places a request on backend servers: one attempt at a time, with a wait while none has room.
@@ -32,6 +35,9 @@
     /** The attempt in progress; null if there is none. */
     private GatewayAttempt mAttempt;
 
+    /** The latest claims at engines that were too busy for the request. */
+    private final Deque<PermitMessage.Done> mClaims = new ArrayDeque<>();
+
     /** The engines that were too busy for the request so far. */
     private int mBusyEngines;
 
@@ -89,6 +95,7 @@
         mAttempt = null;
         mWait.end();
         mParts.waiting().remove(mCall);
+        withdrawClaims();
     }
 
     /**
@@ -103,7 +110,7 @@
             return place();
         }
         mActions.add(mParts.waiting()::drain);
-        return mWait.await(mCall, ErrorKind.OVERLOADED);
+        return mWait.await(mCall, ErrorKind.OVERLOADED, false);
     }
 
     /**
@@ -112,9 +119,10 @@
      * @return false if the request has to be refused
      */
     boolean place() {
-        ServerChoice choice = mParts.pool().choose(mCall.request(), mHistory.excluded());
+        ServerChoice choice =
+                mParts.pool().choose(mCall.request(), mHistory.excluded(), mWait.isPatient());
         if (choice instanceof ServerChoice.Wait wait) {
-            return mWait.await(mCall, wait.kind());
+            return mWait.await(mCall, wait.kind(), wait.selective());
         }
         ServerChoice.Start start = (ServerChoice.Start) choice;
         TryOrder order =
@@ -151,6 +159,15 @@
         mHistory.sent();
         mWait.end();
         mParts.waiting().started(mCall);
+        withdrawClaims();
+    }
+
+    /** Ends the claims at other engines, because the request no longer waits for them. */
+    private void withdrawClaims() {
+        for (PermitMessage.Done claim : mClaims) {
+            mActions.add(() -> mParts.permits().withdraw(claim));
+        }
+        mClaims.clear();
     }
 
     /**
@@ -159,10 +176,14 @@
      * @return false if the request has to be refused
      */
     boolean busy() {
+        mClaims.add(mAttempt.claim());
+        if (mClaims.size() > MAX_BUSY_ENGINES) {
+            mClaims.remove();
+        }
         mAttempt = null;
         mBusyEngines++;
         return mBusyEngines % MAX_BUSY_ENGINES == 0
-                ? mWait.await(mCall, ErrorKind.OVERLOADED)
+                ? mWait.await(mCall, ErrorKind.OVERLOADED, false)
                 : place();
     }
 
--- a/router/src/main/java/org/magnoliaseam/gateway/CallWait.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/CallWait.java
@@ -16,6 +16,11 @@
      */
     private static final double MAX_UNSERVED_WAIT_SHARE = 0.5;
 
+    /**
+     * The longest wait for the cheapest engine while others have room, as a fraction of the target.
+     */
+    private static final double PATIENCE_SHARE = 0.5;
+
     /** The number of nanoseconds in a millisecond. */
     private static final double NANOS_PER_MILLI = 1e6;
 
@@ -43,6 +48,9 @@
     /** The local monotonic time at which the caller gives up without a further event. */
     private long mDeadlineNanos;
 
+    /** Whether the request waits for one engine while others have room. */
+    private boolean mSelective;
+
     /** The error kind of the latest wait, used if the request is refused. */
     private ErrorKind mKind = ErrorKind.OVERLOADED;
 
@@ -74,24 +82,35 @@
         }
     }
 
+    /**
+     * Tells whether the request may wait for its cheapest engine while others have room.
+     *
+     * @return false once it has waited long enough
+     */
+    boolean isPatient() {
+        return waitedMillis() < PATIENCE_SHARE * mRequest.route().targetMillis();
+    }
+
     /**
      * Begins or continues to wait.
      *
      * @param call the request
      * @param kind the error kind if it is refused later
+     * @param selective whether it waits for one engine while others have room
      * @return true if it waits; false if it has to be refused now
      */
-    boolean await(GatewayCall call, ErrorKind kind) {
+    boolean await(GatewayCall call, ErrorKind kind, boolean selective) {
         mKind = kind;
+        mSelective = selective;
         if (mWaiting) {
-            return !expired();
+            return selective || !expired();
         }
         mServiceMillis = mParts.pool().fastestAnswerMillis(mRequest);
-        if (isHopeless(mParts.waiting().forecastMillis(mRequest))) {
+        if (!selective && isHopeless(mParts.waiting().forecastMillis(mRequest))) {
             return false;
         }
         mWaiting = true;
-        mParts.waiting().add(call);
+        mParts.waiting().add(call, selective);
         return true;
     }
 
@@ -119,7 +138,7 @@
         if (!mWaiting) {
             return WaitingCalls.Attempted.STARTED;
         }
-        return unrestricted && mKind == ErrorKind.OVERLOADED
+        return unrestricted && !mSelective && mKind == ErrorKind.OVERLOADED
                 ? WaitingCalls.Attempted.NO_ROOM
                 : WaitingCalls.Attempted.RESTRICTED;
     }
@@ -140,12 +159,20 @@
      */
     boolean expired() {
         if (mKind == ErrorKind.NO_BACKEND_SERVER) {
-            double waitedMillis = (mParts.clock().nanos() - mSinceNanos) / NANOS_PER_MILLI;
-            return waitedMillis >= MAX_UNSERVED_WAIT_SHARE * mRequest.route().targetMillis();
+            return waitedMillis() >= MAX_UNSERVED_WAIT_SHARE * mRequest.route().targetMillis();
         }
         return isHopeless(0);
     }
 
+    /**
+     * Returns the time for which the request has waited.
+     *
+     * @return the time in milliseconds
+     */
+    private double waitedMillis() {
+        return (mParts.clock().nanos() - mSinceNanos) / NANOS_PER_MILLI;
+    }
+
     /**
      * Returns the delay after which the caller should come back if the request is refused.
      *
--- a/router/src/main/java/org/magnoliaseam/gateway/EngineGroups.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/EngineGroups.java
@@ -123,6 +123,16 @@
             return position >= begin && position < end;
         }
 
+        /**
+         * Tells whether an engine is reserved for requests that tolerate only shorter pauses.
+         *
+         * @param state the engine
+         * @return true if the requests would delay streams there
+         */
+        boolean isReserved(BackendServerState state) {
+            return positions.getOrDefault(state, begin) < begin;
+        }
+
         /**
          * Tells whether an engine is reserved for requests that tolerate longer pauses.
          *
--- a/router/src/main/java/org/magnoliaseam/gateway/GatewayAttempt.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/GatewayAttempt.java
@@ -98,7 +98,7 @@
 
     /** Asks for the permit of an engine and sends the request. */
     void start() {
-        if (mStart.limitTokens() < 0) {
+        if (!mStart.limits().areForEngine()) {
             proceed();
             return;
         }
@@ -109,7 +109,8 @@
                                 server().id(),
                                 mOrder.request().priority(),
                                 mStart.uncachedTokens(),
-                                mStart.limitTokens()),
+                                mStart.limits().own(),
+                                mStart.limits().shared()),
                         this::permitAnswered);
     }
 
@@ -127,7 +128,7 @@
             if (outcome instanceof PermitOutcome.Granted granted) {
                 mIdle = granted.waitingTokens() == 0;
                 long tokens = granted.waitingTokens() + mStart.uncachedTokens();
-                mParts.pool().backlog(server(), tokens);
+                mParts.pool().permitGranted(server(), tokens);
             }
             proceed();
         }
@@ -186,6 +187,15 @@
         return mStart.server();
     }
 
+    /**
+     * Returns the notice that ends the permit of the attempt or the claim that its refusal left.
+     *
+     * @return the notice for the home of the engine
+     */
+    PermitMessage.Done claim() {
+        return new PermitMessage.Done(mPermit, server().id());
+    }
+
     /**
      * Returns the inputs of the selection.
      *
@@ -319,7 +329,7 @@
             double millis =
                     mIdle && mStart.measurable() ? (now - mProgressNanos) / NANOS_PER_MILLI : 0;
             mParts.pool().promptProcessed(server(), mStart.uncachedTokens(), millis);
-            mParts.permits().done(new PermitMessage.Done(mPermit, server().id()));
+            mParts.permits().done(claim());
             mParts.waiting().drain();
         } else {
             mCall.paused(now - mProgressNanos);
@@ -339,7 +349,7 @@
         mEnded = true;
         if (!mPromptProcessed) {
             mParts.pool().promptProcessed(server(), mStart.uncachedTokens(), 0);
-            mParts.permits().done(new PermitMessage.Done(mPermit, server().id()));
+            mParts.permits().done(claim());
         }
         return true;
     }
--- a/router/src/main/java/org/magnoliaseam/gateway/ServerChoice.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/ServerChoice.java
@@ -10,8 +10,7 @@
      *
      * @param server the backend server
      * @param uncachedTokens the prompt tokens that it has to process, since it does not cache them
-     * @param limitTokens the prompt tokens that may wait at the engine before its own; negative for
-     *     a plain service
+     * @param limits the prompt tokens that may wait at the engine before its own
      * @param measurable whether the time to the first event measures the processing speed: no other
      *     prompt waited there, and the shared parts were cached there, as far as is known
      * @param reason the inputs of the decision, for the log
@@ -19,7 +18,7 @@
     record Start(
             BackendServerState server,
             long uncachedTokens,
-            long limitTokens,
+            ServerRoom.Limits limits,
             boolean measurable,
             String reason)
             implements ServerChoice {}
@@ -28,6 +27,8 @@
      * Keeps the request waiting until a backend server has room.
      *
      * @param kind the error kind if no backend server has room in time
+     * @param selective whether others have room, but waiting for the engine that caches the prompt
+     *     costs less than processing the prompt again
      */
-    record Wait(ErrorKind kind) implements ServerChoice {}
+    record Wait(ErrorKind kind, boolean selective) implements ServerChoice {}
 }
--- a/router/src/main/java/org/magnoliaseam/gateway/ServerPool.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/ServerPool.java
@@ -174,25 +174,37 @@
      *
      * @param request the request
      * @param excluded the backend servers that get no further attempt of the request
+     * @param patient whether the request may wait for its cheapest engine while others have room
      * @return the selected backend server, or the reason to wait
      */
-    synchronized ServerChoice choose(GatewayRequest request, Set<BackendServerId> excluded) {
+    synchronized ServerChoice choose(
+            GatewayRequest request, Set<BackendServerId> excluded, boolean patient) {
         long now = mClock.nanos();
         List<BackendServerState> present = mServers.inService(request.service().name());
         if (present.isEmpty()) {
-            return new ServerChoice.Wait(ErrorKind.NO_BACKEND_SERVER);
+            return new ServerChoice.Wait(ErrorKind.NO_BACKEND_SERVER, false);
         }
         List<BackendServerState> candidates = candidates(request, present, excluded, now);
         if (candidates.isEmpty()) {
-            return new ServerChoice.Wait(ErrorKind.OVERLOADED);
+            return new ServerChoice.Wait(ErrorKind.OVERLOADED, false);
         }
         BackendServerState chosen = mSelector.choose(request, present, candidates, now);
+        if (!ServerRoom.hasRoom(request, chosen, now)) {
+            List<BackendServerState> free =
+                    mSelector.unreserved(request, present, candidates, now).stream()
+                            .filter(state -> ServerRoom.hasRoom(request, state, now))
+                            .toList();
+            if (patient || free.isEmpty()) {
+                return new ServerChoice.Wait(ErrorKind.OVERLOADED, !free.isEmpty());
+            }
+            chosen = mSelector.choose(request, present, free, now);
+        }
         String reason = mSelector.describe(request, chosen, candidates.size(), now);
         boolean idle = chosen.waitingTokens(mPeerLoads, now) == 0;
         long tokens = chosen.start(request, mShares, now);
         boolean measurable = idle && tokens <= request.prompt().ownTokens();
-        long limit = mRoom.limitTokens(request, chosen, now);
-        return new ServerChoice.Start(chosen, tokens, limit, measurable, reason);
+        ServerRoom.Limits limits = mRoom.limits(request, chosen, now);
+        return new ServerChoice.Start(chosen, tokens, limits, measurable, reason);
     }
 
     /**
@@ -203,7 +215,7 @@
      * @param present the backend servers of the service that are in service
      * @param excluded the backend servers that get no further attempt of the request
      * @param now the local monotonic time
-     * @return the backend servers that have room
+     * @return the backend servers that have a free slot
      */
     private List<BackendServerState> candidates(
             GatewayRequest request,
@@ -213,14 +225,13 @@
         List<BackendServerState> healthy = new ArrayList<>(present.size());
         List<BackendServerState> ejected = new ArrayList<>();
         boolean anyHealthy = false;
-        long target = mRoom.strictestTarget(request, now);
         for (BackendServerState state : present) {
             if (excluded.contains(state.id()) || !state.admits(request.service(), mShares, now)) {
                 continue;
             }
             boolean sound = !state.failures().ejected(state.running(), now);
             anyHealthy |= sound;
-            if (mRoom.hasRoom(request, state, target, now)) {
+            if (mRoom.hasSlot(state, now)) {
                 (sound ? healthy : ejected).add(state);
             }
         }
@@ -228,13 +239,13 @@
     }
 
     /**
-     * Records the prompt tokens that wait at an engine, as counted by its home.
+     * Records that the home of an engine granted a permit.
      *
      * @param server the engine
-     * @param tokens the tokens
+     * @param tokens the prompt tokens that wait there, with those of the permit
      */
-    synchronized void backlog(BackendServerState server, long tokens) {
-        server.backlog(tokens, mClock.nanos());
+    synchronized void permitGranted(BackendServerState server, long tokens) {
+        server.backlog().granted(tokens, mClock.nanos());
     }
 
     /**
@@ -244,8 +255,7 @@
      * @param tokens the prompt tokens that wait there
      */
     synchronized void permitRefused(BackendServerState server, long tokens) {
-        server.backlog(tokens, mClock.nanos());
-        server.permitRefused(mClock.nanos());
+        server.backlog().refused(tokens, mClock.nanos());
     }
 
     /**
@@ -302,7 +312,9 @@
      */
     synchronized void promptProcessed(BackendServerState server, long tokens, double millis) {
         server.promptProcessed(tokens);
-        server.measured(tokens, millis);
+        if (millis > 0) {
+            server.promptTime().measured(tokens, millis);
+        }
     }
 
     /**
--- a/router/src/main/java/org/magnoliaseam/gateway/ServerRegistry.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/ServerRegistry.java
@@ -14,6 +14,7 @@
 import org.magnoliaseam.model.BackendServerId;
 import org.magnoliaseam.model.FailureDomain;
 import org.magnoliaseam.model.ServiceName;
+import org.magnoliaseam.placement.PromptTimeModel;
 
 /**
  * Holds the published backend servers and the failure domains that are out of service. Guarded by
@@ -36,6 +37,9 @@
     /** The backend servers that may get new work, by service; filled when first needed. */
     private final Map<ServiceName, List<BackendServerState>> mInService = new HashMap<>();
 
+    /** Predicts the time that a prompt takes, by service. */
+    private final Map<ServiceName, PromptTimeModel> mPromptTimes = new HashMap<>();
+
     /** The failure domains that are out of service. */
     private final Set<FailureDomain> mOutOfService = new HashSet<>();
 
@@ -65,7 +69,9 @@
         mInService.clear();
         BackendServerState known = mServers.get(entry.id());
         if (known == null) {
-            mServers.put(entry.id(), new BackendServerState(entry, nowNanos));
+            PromptTimeModel promptTime =
+                    mPromptTimes.computeIfAbsent(entry.service(), name -> new PromptTimeModel());
+            mServers.put(entry.id(), new BackendServerState(entry, promptTime, nowNanos));
         } else {
             known.update(entry, nowNanos);
         }
--- a/router/src/main/java/org/magnoliaseam/gateway/ServerRoom.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/ServerRoom.java
@@ -17,8 +17,8 @@
     /** The usual time of an answer of a plain service, as a fraction of its target. */
     private static final double PLAIN_ANSWER_SHARE = 0.5;
 
-    /** The limit of waiting prompts that stands for none. */
-    private static final long NO_LIMIT = -1;
+    /** The limits of a plain service. */
+    private static final Limits NO_LIMITS = new Limits(-1, -1);
 
     /** The targets of the recent requests of each service. */
     private final Map<ServiceName, UrgentTargets> mTargets = new HashMap<>();
@@ -46,50 +46,82 @@
     }
 
     /**
-     * Returns the target that a request has to leave room for at an engine.
+     * Tells whether a backend server has a free slot.
      *
-     * @param request the request
+     * @param state the backend server
      * @param nowNanos the local monotonic time
-     * @return the strictest of its own target and those of more urgent requests, in milliseconds
+     * @return true if fewer requests run and wait there than it has slots, as far as is known
      */
-    long strictestTarget(GatewayRequest request, long nowNanos) {
-        long own = request.route().targetMillis();
-        return targets(request).strictest(request.priority(), own, nowNanos);
+    boolean hasSlot(BackendServerState state, long nowNanos) {
+        int slots = state.entry().slots();
+        return slots == 0 || state.occupied(mPeerLoads, nowNanos) < slots;
     }
 
     /**
-     * Tells whether a backend server has room for a request.
+     * Tells whether few prompts wait at an engine.
      *
      * @param request the request
      * @param state the backend server
-     * @param target the result of {@link #strictestTarget} for the request
      * @param nowNanos the local monotonic time
-     * @return true if it has a free slot and, if it is an engine, few prompts wait there
+     * @return true if it may get the request, or if it is no engine
      */
-    boolean hasRoom(GatewayRequest request, BackendServerState state, long target, long nowNanos) {
-        int slots = state.entry().slots();
-        boolean full = slots > 0 && state.occupied(mPeerLoads, nowNanos) >= slots;
-        if (full || state.isPermitRefused(nowNanos)) {
-            return false;
+    static boolean hasRoom(GatewayRequest request, BackendServerState state, long nowNanos) {
+        if (request.service().engine().isEmpty()) {
+            return true;
         }
-        double wait = state.processingMillis(state.waitingTokens(mPeerLoads, nowNanos));
-        return request.service().engine().isEmpty() || EngineBacklogLimit.admits(wait, target);
+        double base = state.promptTime().baseMillis();
+        double wait = state.processingMillis(state.countedTokens(nowNanos)) - base;
+        return !state.backlog().isRefused(nowNanos)
+                && EngineBacklogLimit.admits(wait, request.route().targetMillis());
     }
 
     /**
-     * Returns the prompt tokens that may wait at a backend server before those of a request.
+     * Holds the prompt tokens that may wait at an engine before those of a request.
+     *
+     * @param own the tokens that let the request meet its target; negative for a plain service
+     * @param shared the tokens that let more urgent requests meet their targets as well
+     */
+    record Limits(long own, long shared) {
+
+        /**
+         * Tells whether the backend server is an engine.
+         *
+         * @return false for a plain service
+         */
+        boolean areForEngine() {
+            return own >= 0;
+        }
+    }
+
+    /**
+     * Returns the prompt tokens that may wait at a backend server before those of a request. A
+     * prompt counts until its first event, so those of the base time come on top.
      *
      * @param request the request
      * @param state the backend server
      * @param nowNanos the local monotonic time
-     * @return the tokens; negative for a plain service
+     * @return the limits
      */
-    long limitTokens(GatewayRequest request, BackendServerState state, long nowNanos) {
+    Limits limits(GatewayRequest request, BackendServerState state, long nowNanos) {
         if (request.service().engine().isEmpty()) {
-            return NO_LIMIT;
+            return NO_LIMITS;
         }
-        double target = strictestTarget(request, nowNanos);
-        return state.tokensWithin(EngineBacklogLimit.limitMillis(target));
+        double base = state.promptTime().baseMillis();
+        double own = base + EngineBacklogLimit.limitMillis(request.route().targetMillis());
+        double shared = base + EngineBacklogLimit.limitMillis(strictestTarget(request, nowNanos));
+        return new Limits(state.tokensWithin(own), state.tokensWithin(shared));
+    }
+
+    /**
+     * Returns the strictest target of a request and of the recent, more urgent ones.
+     *
+     * @param request the request
+     * @param nowNanos the local monotonic time
+     * @return the target in milliseconds
+     */
+    private long strictestTarget(GatewayRequest request, long nowNanos) {
+        long own = request.route().targetMillis();
+        return targets(request).strictest(request.priority(), own, nowNanos);
     }
 
     /**
@@ -106,7 +138,8 @@
         double fastest = Double.POSITIVE_INFINITY;
         for (BackendServerState state : inService) {
             long tokens = state.uncachedTokens(request.prompt());
-            fastest = Math.min(fastest, state.processingMillis(tokens));
+            double base = state.promptTime().baseMillis();
+            fastest = Math.min(fastest, base + state.processingMillis(tokens));
         }
         return Double.isInfinite(fastest) ? 0 : fastest;
     }
--- a/router/src/main/java/org/magnoliaseam/gateway/ServerSelector.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/ServerSelector.java
@@ -97,13 +97,39 @@
         if (request.service().engine().isEmpty()) {
             return cheapest(request, candidates, EngineGroups.Group.ALL, nowNanos);
         }
+        List<BackendServerState> allowed = unreserved(request, present, candidates, nowNanos);
         EngineGroups.Group group = groups(request).group(request, present, nowNanos);
-        BackendServerState preferred = preferred(request.prompt().affinityKey(), candidates, group);
+        BackendServerState preferred = preferred(request.prompt().affinityKey(), allowed, group);
         double limit = AFFINITY_COST_SHARE * request.route().targetMillis();
         if (preferred != null && cost(request, preferred, nowNanos) <= limit) {
             return preferred;
         }
-        return cheapest(request, candidates, group, nowNanos);
+        return cheapest(request, allowed, group, nowNanos);
+    }
+
+    /**
+     * Returns the backend servers that a request may use. The engines of requests that tolerate
+     * only shorter pauses are left out unless there is no other, since a long prompt there would
+     * delay every stream.
+     *
+     * @param request the request
+     * @param present the backend servers of the service that are in service
+     * @param candidates the backend servers that may run the request now
+     * @param nowNanos the local monotonic time
+     * @return the candidates without the reserved ones; all if there are only reserved ones
+     */
+    List<BackendServerState> unreserved(
+            GatewayRequest request,
+            List<BackendServerState> present,
+            List<BackendServerState> candidates,
+            long nowNanos) {
+        if (request.service().engine().isEmpty()) {
+            return candidates;
+        }
+        EngineGroups.Group group = groups(request).group(request, present, nowNanos);
+        List<BackendServerState> unreserved = new ArrayList<>(candidates);
+        unreserved.removeIf(group::isReserved);
+        return unreserved.isEmpty() ? candidates : unreserved;
     }
 
     /**
@@ -166,8 +192,7 @@
     }
 
     /**
-     * Returns the backend server with the lowest cost. The engines of requests that tolerate only
-     * shorter pauses are avoided as long as there are others.
+     * Returns the backend server with the lowest cost.
      *
      * @param request the request
      * @param candidates the backend servers
@@ -182,22 +207,13 @@
             long nowNanos) {
         double overflowCost = OVERFLOW_COST * request.route().targetMillis();
         BackendServerState best = null;
-        boolean bestReserved = true;
         double bestCost = 0;
         for (BackendServerState candidate : candidates) {
-            boolean overflow = group.isOverflow(candidate);
-            boolean reserved = !overflow && !group.isOwn(candidate);
-            double cost = cost(request, candidate, nowNanos) + (overflow ? overflowCost : 0);
-            boolean better =
-                    reserved != bestReserved
-                            ? bestReserved
-                            : cost < bestCost
-                                    || cost == bestCost
-                                            && isLocal(candidate.entry())
-                                            && !isLocal(best.entry());
-            if (best == null || better) {
+            double cost = cost(request, candidate, nowNanos);
+            cost += group.isOverflow(candidate) ? overflowCost : 0;
+            boolean closer = best != null && isLocal(candidate.entry()) && !isLocal(best.entry());
+            if (best == null || cost < bestCost || cost == bestCost && closer) {
                 best = candidate;
-                bestReserved = reserved;
                 bestCost = cost;
             }
         }
--- a/router/src/main/java/org/magnoliaseam/gateway/WaitingCalls.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/WaitingCalls.java
@@ -21,7 +21,10 @@
      * The requests that may be passed over because the restriction that keeps them waiting is their
      * own, before the rest has to wait too.
      */
-    private static final int MAX_PASSED_OVER = 8;
+    private static final int MAX_PASSED_OVER = 16;
+
+    /** A priority below all others. */
+    private static final int NOT_BLOCKED = Integer.MAX_VALUE;
 
     /** The waiting requests of each service. */
     private final Map<ServiceName, Line> mLines = new HashMap<>();
@@ -50,6 +53,9 @@
 
         /** Forecasts their wait. */
         private final DrainForecast mForecast = new DrainForecast();
+
+        /** The highest priority that found no room; new requests of it and below wait as well. */
+        private int mBlockedPriority = NOT_BLOCKED;
     }
 
     /**
@@ -71,13 +77,15 @@
     }
 
     /**
-     * Tells whether requests of the same or a higher priority wait already.
+     * Tells whether requests of the same or a higher priority wait because nothing has room.
      *
      * @param request the request
      * @return true if it may not start before them
      */
     synchronized boolean mustWait(GatewayRequest request) {
-        return line(request).mQueue.isBefore(request.priority());
+        Line line = line(request);
+        return line.mBlockedPriority <= request.priority()
+                && line.mQueue.isBefore(request.priority());
     }
 
     /**
@@ -96,15 +104,21 @@
      * Adds a request.
      *
      * @param call the request, which does not wait yet
+     * @param selective whether it waits for one engine while others have room
      */
-    synchronized void add(GatewayCall call) {
+    synchronized void add(GatewayCall call, boolean selective) {
         GatewayRequest request = call.request();
+        Line line = line(request);
+        if (!selective) {
+            line.mBlockedPriority = Math.min(line.mBlockedPriority, request.priority());
+        }
         WaitKey key =
                 new WaitKey(
                         request.priority(),
                         request.accountName(),
                         request.firstEventDeadlineNanos());
-        line(request).mQueue.add(call, key);
+        line.mQueue.add(call, key);
+        line.mForecast.waiting(true, mClock.nanos());
     }
 
     /**
@@ -116,6 +130,7 @@
         Line line = line(call.request());
         line.mForecast.started(mClock.nanos());
         line.mQueue.started(call);
+        line.mForecast.waiting(line.mQueue.size() > 0, mClock.nanos());
     }
 
     /**
@@ -124,7 +139,9 @@
      * @param call the request
      */
     synchronized void remove(GatewayCall call) {
-        line(call.request()).mQueue.remove(call);
+        Line line = line(call.request());
+        line.mQueue.remove(call);
+        line.mForecast.waiting(line.mQueue.size() > 0, mClock.nanos());
     }
 
     /**
@@ -150,15 +167,12 @@
      */
     private void drain(ServiceName service) {
         int passedOver = 0;
-        int blockedPriority = Integer.MAX_VALUE;
+        int blockedPriority = NOT_BLOCKED;
         while (passedOver <= MAX_PASSED_OVER) {
             List<GatewayCall> next = next(service, passedOver + 1);
-            if (next.size() <= passedOver) {
-                return;
-            }
-            GatewayCall call = next.get(passedOver);
-            if (call.request().priority() >= blockedPriority) {
-                return;
+            GatewayCall call = next.size() <= passedOver ? null : next.get(passedOver);
+            if (call == null || call.request().priority() >= blockedPriority) {
+                break;
             }
             Attempted attempted = call.tryStart();
             if (attempted == Attempted.STARTED) {
@@ -170,6 +184,17 @@
                 blockedPriority = call.request().priority();
             }
         }
+        blocked(service, blockedPriority);
+    }
+
+    /**
+     * Records the highest priority that found no room.
+     *
+     * @param service the service
+     * @param priority the priority
+     */
+    private synchronized void blocked(ServiceName service, int priority) {
+        mLines.get(service).mBlockedPriority = priority;
     }
 
     /**
--- a/router/src/main/java/org/magnoliaseam/permit/EngineLedger.java
+++ b/router/src/main/java/org/magnoliaseam/permit/EngineLedger.java
@@ -3,6 +3,7 @@
 import java.util.HashMap;
 import java.util.Iterator;
 import java.util.Map;
+import java.util.TreeMap;
 import org.magnoliaseam.gossip.PeerEndpoint;
 
 /**
@@ -20,6 +21,11 @@
     /** The validity of a claim in nanoseconds; its holder asks again sooner. */
     private static final long CLAIM_NANOS = 100_000_000L;
 
+    /**
+     * The time for which a priority counts as using the engine after a question, in nanoseconds.
+     */
+    private static final long USING_NANOS = 2_000_000_000L;
+
     /** One permit out of this many ignores the claims of more urgent requests. */
     private static final int PERMITS_PER_GUARANTEED = 8;
 
@@ -29,6 +35,9 @@
     /** The claim of each entry VM. */
     private final Map<PeerEndpoint, Claim> mClaims = new HashMap<>();
 
+    /** The local monotonic time of the last question of each priority. */
+    private final TreeMap<Integer, Long> mUsers = new TreeMap<>();
+
     /** The permits granted so far. */
     private long mGranted;
 
@@ -54,10 +63,11 @@
     /**
      * Holds a claim.
      *
+     * @param id the number of the permit that was refused
      * @param priority the priority of the request that got no permit
      * @param nanos the local monotonic time of the question
      */
-    private record Claim(int priority, long nanos) {}
+    private record Claim(long id, int priority, long nanos) {}
 
     /**
      * Answers a question.
@@ -70,7 +80,8 @@
     PermitMessage.Reply ask(PeerEndpoint vm, PermitMessage.Ask ask, long nowNanos) {
         mAskedNanos = nowNanos;
         long waiting = waitingTokens(nowNanos);
-        boolean granted = waiting <= ask.limitTokens() && !isClaimed(ask.priority(), nowNanos);
+        mUsers.put(ask.priority(), nowNanos);
+        boolean granted = waiting <= limit(ask, nowNanos) && !isClaimed(ask.priority(), nowNanos);
         if (granted) {
             mGranted++;
             mClaims.remove(vm);
@@ -79,20 +90,40 @@
             Claim own = mClaims.get(vm);
             boolean expired = own == null || nowNanos - own.nanos() > CLAIM_NANOS;
             if (expired || ask.priority() <= own.priority()) {
-                mClaims.put(vm, new Claim(ask.priority(), nowNanos));
+                mClaims.put(vm, new Claim(ask.id(), ask.priority(), nowNanos));
             }
         }
         return new PermitMessage.Reply(ask.id(), granted, waiting);
     }
 
     /**
-     * Ends a permit.
+     * Returns the limit of waiting prompts for a question.
      *
-     * @param vm the entry VM that holds it
+     * @param ask the question
+     * @param nowNanos the local monotonic time
+     * @return the tokens that may wait before those of the question
+     */
+    private long limit(PermitMessage.Ask ask, long nowNanos) {
+        for (long asked : mUsers.headMap(ask.priority()).values()) {
+            if (nowNanos - asked < USING_NANOS) {
+                return ask.sharedLimitTokens();
+            }
+        }
+        return ask.limitTokens();
+    }
+
+    /**
+     * Ends a permit, or the claim that its refusal left.
+     *
+     * @param vm the entry VM that asked for it
      * @param id its number
      */
     void done(PeerEndpoint vm, long id) {
         mPermits.remove(new Holder(vm, id));
+        Claim claim = mClaims.get(vm);
+        if (claim != null && claim.id() == id) {
+            mClaims.remove(vm);
+        }
     }
 
     /**
--- a/router/src/main/java/org/magnoliaseam/permit/EnginePermits.java
+++ b/router/src/main/java/org/magnoliaseam/permit/EnginePermits.java
@@ -122,6 +122,25 @@
         }
     }
 
+    /**
+     * Ends the claim that a refused permit left, because the request no longer waits for the
+     * engine.
+     *
+     * @param done the notice for its home
+     */
+    public void withdraw(PermitMessage.Done done) {
+        PeerEndpoint home;
+        Membership members = mMembers.get();
+        synchronized (this) {
+            home = mHomes.home(done.server(), members, mClock.nanos());
+            if (home.equals(members.own())) {
+                mLedger.done(home, done);
+                return;
+            }
+        }
+        mSender.send(home, done);
+    }
+
     /**
      * Handles a message of another entry VM.
      *
--- a/router/src/main/java/org/magnoliaseam/permit/PermitCodec.java
+++ b/router/src/main/java/org/magnoliaseam/permit/PermitCodec.java
@@ -43,6 +43,7 @@
                 packer.packInt(ask.priority());
                 packer.packLong(ask.tokens());
                 packer.packLong(ask.limitTokens());
+                packer.packLong(ask.sharedLimitTokens());
             } else if (message instanceof PermitMessage.Reply reply) {
                 packer.packInt(Kind.REPLY.ordinal());
                 packer.packLong(reply.id());
@@ -93,6 +94,7 @@
                                 new BackendServerId(unpacker.unpackString()),
                                 unpacker.unpackInt(),
                                 unpacker.unpackLong(),
+                                unpacker.unpackLong(),
                                 unpacker.unpackLong());
                 case REPLY ->
                         new PermitMessage.Reply(
--- a/router/src/main/java/org/magnoliaseam/permit/PermitMessage.java
+++ b/router/src/main/java/org/magnoliaseam/permit/PermitMessage.java
@@ -20,8 +20,15 @@
      * @param priority the priority of the request; 0 is the highest
      * @param tokens the prompt tokens that the engine will have to process
      * @param limitTokens the prompt tokens that may wait there before them
+     * @param sharedLimitTokens the same if more urgent requests use the engine as well
      */
-    record Ask(long id, BackendServerId server, int priority, long tokens, long limitTokens)
+    record Ask(
+            long id,
+            BackendServerId server,
+            int priority,
+            long tokens,
+            long limitTokens,
+            long sharedLimitTokens)
             implements PermitMessage {}
 
     /**
@@ -34,7 +41,8 @@
     record Reply(long id, boolean granted, long waitingTokens) implements PermitMessage {}
 
     /**
-     * Tells the home that the engine has processed the prompt, or that it was not sent.
+     * Tells the home that the engine has processed the prompt, or that its request no longer waits
+     * for the engine.
      *
      * @param id the number of the permit
      * @param server the engine
--- a/router/src/main/java/org/magnoliaseam/placement/DrainForecast.java
+++ b/router/src/main/java/org/magnoliaseam/placement/DrainForecast.java
@@ -13,8 +13,8 @@
     /** The time constant of the measured rates, in nanoseconds. */
     private static final double DECAY_NANOS = 2e9;
 
-    /** The recent starts below which the rate is unknown. */
-    private static final double MIN_STARTS = 4;
+    /** The recent time with waiting requests below which the rate of starts is unknown. */
+    private static final double MIN_BUSY_SECONDS = 0.3;
 
     /**
      * The smallest fraction of the starts that a priority gets beside more urgent ones. It is that
@@ -22,12 +22,24 @@
      */
     private static final double MIN_SHARE = 0.125;
 
+    /** The number of nanoseconds in a second. */
+    private static final double NANOS_PER_SECOND = 1e9;
+
     /** The number of milliseconds in a second. */
     private static final double MILLIS_PER_SECOND = 1000;
 
-    /** The recent starts of all requests. */
+    /** The recent starts of all requests while requests waited. */
     private final DecayingCounter mStarts = new DecayingCounter(DECAY_NANOS);
 
+    /** The recent time with waiting requests, in seconds. */
+    private final DecayingCounter mBusySeconds = new DecayingCounter(DECAY_NANOS);
+
+    /** Whether requests wait. */
+    private boolean mWaiting;
+
+    /** The local monotonic time of the last change. */
+    private long mChangedNanos;
+
     /** The recent arrivals by priority. */
     private final Map<Integer, DecayingCounter> mArrivals = new TreeMap<>();
 
@@ -44,12 +56,29 @@
     }
 
     /**
-     * Counts a request that was started.
+     * Counts a request that was started. While nothing waits, the starts follow the arrivals and
+     * tell nothing about the capacity.
      *
      * @param nowNanos the local monotonic time
      */
     public void started(long nowNanos) {
-        mStarts.add(1, nowNanos);
+        if (mWaiting) {
+            mStarts.add(1, nowNanos);
+        }
+    }
+
+    /**
+     * Records whether requests wait from now on.
+     *
+     * @param waiting whether requests wait
+     * @param nowNanos the local monotonic time
+     */
+    public void waiting(boolean waiting, long nowNanos) {
+        if (mWaiting) {
+            mBusySeconds.add((nowNanos - mChangedNanos) / NANOS_PER_SECOND, nowNanos);
+        }
+        mWaiting = waiting;
+        mChangedNanos = nowNanos;
     }
 
     /**
@@ -61,10 +90,12 @@
      * @return the wait in milliseconds; 0 if nothing waits or the rate is not known yet
      */
     public double waitMillis(int priority, int ahead, long nowNanos) {
-        if (ahead == 0 || mStarts.at(nowNanos) < MIN_STARTS) {
+        double busy = mBusySeconds.at(nowNanos);
+        double started = mStarts.at(nowNanos);
+        if (ahead == 0 || busy < MIN_BUSY_SECONDS || started == 0) {
             return 0;
         }
-        double starts = mStarts.perSecond(nowNanos);
+        double starts = started / busy;
         double urgent = 0;
         for (Map.Entry<Integer, DecayingCounter> arrivals : mArrivals.entrySet()) {
             if (arrivals.getKey() < priority) {
--- a/router/src/test/java/org/magnoliaseam/gateway/ServerSelectorTest.java
+++ b/router/src/test/java/org/magnoliaseam/gateway/ServerSelectorTest.java
@@ -23,6 +23,7 @@
 import org.magnoliaseam.gossip.PeerEndpoint;
 import org.magnoliaseam.gossip.ServerLoad;
 import org.magnoliaseam.model.BackendServerId;
+import org.magnoliaseam.placement.PromptTimeModel;
 
 /** Tests the selection of a backend server. */
 class ServerSelectorTest {
@@ -36,7 +37,9 @@
     private static List<BackendServerState> states(int count) {
         List<BackendServerState> states = new ArrayList<>();
         for (int i = 0; i < count; i++) {
-            states.add(new BackendServerState(server("engine-" + i, ENGINES, false), 0));
+            states.add(
+                    new BackendServerState(
+                            server("engine-" + i, ENGINES, false), new PromptTimeModel(), 0));
         }
         return states;
     }
@@ -225,7 +228,7 @@
             pool.published(server("desk", DESK, false));
             GatewayRequest request =
                     request("r", route(RequestKind.ONCE, 1, false, 0), Prompt.NONE);
-            ServerChoice.Start start = (ServerChoice.Start) pool.choose(request, Set.of());
+            ServerChoice.Start start = (ServerChoice.Start) pool.choose(request, Set.of(), true);
             pool.withdrawn(new BackendServerId("desk"));
             pool.published(server("desk", DESK, false));
             pool.failed(start.server(), request.service(), BackendFailure.REFUSED);
--- a/router/src/test/java/org/magnoliaseam/permit/PermitTest.java
+++ b/router/src/test/java/org/magnoliaseam/permit/PermitTest.java
@@ -33,7 +33,7 @@
     }
 
     private static PermitMessage.Ask ask(long id, int priority, long tokens, long limit) {
-        return new PermitMessage.Ask(id, ENGINE, priority, tokens, limit);
+        return new PermitMessage.Ask(id, ENGINE, priority, tokens, limit, limit);
     }
 
     /** Tests the count of waiting prompts. */
@@ -79,6 +79,23 @@
             assertThat(mLedger.ask(SECOND, ask(2, 2, 600, 500), 4 * MILLI).granted()).isTrue();
         }
 
+        @Test
+        void sharedLimitHoldsWhileMoreUrgentRequestsUseTheEngine() {
+            PermitMessage.Ask less = new PermitMessage.Ask(1, ENGINE, 2, 100, 5000, 500);
+            mLedger.ask(FIRST, ask(1, 0, 600, 500), 0);
+            assertThat(mLedger.ask(SECOND, less, MILLI).granted()).isFalse();
+            assertThat(mLedger.ask(SECOND, less, 2001 * MILLI).granted()).isTrue();
+        }
+
+        @Test
+        void withdrawnClaimNoLongerCounts() {
+            mLedger.ask(FIRST, ask(1, 0, 600, 500), 0);
+            mLedger.ask(FIRST, ask(2, 0, 100, 500), 0);
+            mLedger.done(FIRST, new PermitMessage.Done(1, ENGINE));
+            mLedger.done(FIRST, new PermitMessage.Done(2, ENGINE));
+            assertThat(mLedger.ask(SECOND, ask(1, 2, 1, 500), MILLI).granted()).isTrue();
+        }
+
         @Test
         void claimThatIsNotRenewedExpires() {
             mLedger.ask(FIRST, ask(1, 0, 600, 500), 0);
@@ -163,7 +180,8 @@
             mLossy = true;
             for (int engine = 0; engine < 20; engine++) {
                 BackendServerId server = new BackendServerId("e" + engine);
-                mVms.get(FIRST).ask(new PermitMessage.Ask(engine, server, 0, 1, 1), mOutcomes::add);
+                mVms.get(FIRST)
+                        .ask(new PermitMessage.Ask(engine, server, 0, 1, 1, 1), mOutcomes::add);
             }
             mNow.addAndGet(25 * MILLI);
             mVms.get(FIRST).tick();
--- a/router/src/test/java/org/magnoliaseam/placement/RefusalRuleTest.java
+++ b/router/src/test/java/org/magnoliaseam/placement/RefusalRuleTest.java
@@ -17,8 +17,10 @@
         private final DrainForecast mForecast = new DrainForecast();
 
         private void starts(int count, long intervalMillis) {
+            mForecast.waiting(true, 0);
             for (int i = 1; i <= count; i++) {
                 mForecast.started(i * intervalMillis * MILLI);
+                mForecast.waiting(true, i * intervalMillis * MILLI);
             }
         }
 
@@ -34,6 +36,19 @@
             assertThat(mForecast.waitMillis(1, 50, 20 * MILLI)).isZero();
         }
 
+        @Test
+        void startsWhileNothingWaitsTellNothingAboutTheCapacity() {
+            for (int i = 1; i <= 10; i++) {
+                mForecast.started(i * 1000 * MILLI);
+            }
+            mForecast.waiting(true, 10_000 * MILLI);
+            for (int i = 1; i <= 100; i++) {
+                mForecast.started((10_000 + 10 * i) * MILLI);
+                mForecast.waiting(true, (10_000 + 10 * i) * MILLI);
+            }
+            assertThat(mForecast.waitMillis(1, 50, 11_000 * MILLI)).isBetween(480.0, 520.0);
+        }
+
         @Test
         void followsTheRateOfStarts() {
             starts(1000, 10);
@@ -42,11 +57,9 @@
 
         @Test
         void lowerPrioritiesWaitForMoreUrgentArrivals() {
-            for (int i = 1; i <= 1000; i++) {
-                mForecast.started(i * 10 * MILLI);
-                if (i % 2 == 0) {
-                    mForecast.arrived(0, i * 10 * MILLI);
-                }
+            starts(1000, 10);
+            for (int i = 2; i <= 1000; i += 2) {
+                mForecast.arrived(0, i * 10 * MILLI);
             }
             assertThat(mForecast.waitMillis(0, 50, 10_000 * MILLI)).isBetween(480.0, 520.0);
             assertThat(mForecast.waitMillis(1, 50, 10_000 * MILLI)).isBetween(960.0, 1040.0);
@@ -54,8 +67,8 @@
 
         @Test
         void lowestPriorityKeepsItsGuaranteedShare() {
+            starts(1000, 10);
             for (int i = 1; i <= 1000; i++) {
-                mForecast.started(i * 10 * MILLI);
                 mForecast.arrived(0, i * 10 * MILLI);
             }
             assertThat(mForecast.waitMillis(1, 10, 10_000 * MILLI)).isBetween(780.0, 820.0);
