--- a/testbed/src/main/java/org/magnoliaseam/testbed/Main.java
+++ b/testbed/src/main/java/org/magnoliaseam/testbed/Main.java
@@ -3,7 +3,6 @@
 import java.util.Arrays;
 import java.util.Map;
 import java.util.TreeMap;
-import org.magnoliaseam.testbed.archive.TrainCommand;
 import org.magnoliaseam.testbed.capacity.LoadsCommand;
 import org.magnoliaseam.testbed.demo.DemoCommand;
 import org.magnoliaseam.testbed.engine.EngineCommand;
@@ -24,18 +23,17 @@
     /** The commands by name. */
     private static final Map<String, Subcommand> COMMANDS =
             new TreeMap<>(
-                    Map.ofEntries(
-                            Map.entry("demo", new DemoCommand()),
-                            Map.entry("platform", new PlatformCommand()),
-                            Map.entry("engine", new EngineCommand()),
-                            Map.entry("ledger", new LedgerCommand()),
-                            Map.entry("loads", new LoadsCommand()),
-                            Map.entry("proxy", new ProxyCommand()),
-                            Map.entry("trace", new TraceCommand()),
-                            Map.entry("train", new TrainCommand()),
-                            Map.entry("replay", new ReplayCommand()),
-                            Map.entry("soak", new SoakCommand()),
-                            Map.entry("experiment", new ExperimentCommand())));
+                    Map.of(
+                            "demo", new DemoCommand(),
+                            "platform", new PlatformCommand(),
+                            "engine", new EngineCommand(),
+                            "ledger", new LedgerCommand(),
+                            "loads", new LoadsCommand(),
+                            "proxy", new ProxyCommand(),
+                            "trace", new TraceCommand(),
+                            "replay", new ReplayCommand(),
+                            "soak", new SoakCommand(),
+                            "experiment", new ExperimentCommand()));
 
     /** Prevents instances of this entry point. */
     private Main() {}
--- a/testbed/src/main/java/org/magnoliaseam/testbed/harness/ManagedProcess.java
+++ b/testbed/src/main/java/org/magnoliaseam/testbed/harness/ManagedProcess.java
@@ -51,21 +51,8 @@
      * @throws UncheckedIOException if the process cannot be started
      */
     public ManagedProcess(String name, Path folder, List<String> command) {
-        this(name, folder, folder.resolve(name + ".out"), command);
-    }
-
-    /**
-     * Starts a process.
-     *
-     * @param name the name in messages
-     * @param folder the working folder
-     * @param output the file that gets the output
-     * @param command the command line
-     * @throws UncheckedIOException if the process cannot be started
-     */
-    public ManagedProcess(String name, Path folder, Path output, List<String> command) {
         mName = name;
-        mOutput = output;
+        mOutput = folder.resolve(name + ".out");
         try {
             mProcess =
                     new ProcessBuilder(command)
