Tie the freshness of the catalog to the contact limit, and log failures of datagrams

Cause, found by reading the change: (1) a catalog counted as fresh for 4 s, but the one watch of a site with a contact limit of 5 s answers each 4.1 s, so that unknown routes were refused as not ready for 0.1 s of each. (2) the thread that receives datagrams now runs callbacks of permits; their failures went to the debug level as unreadable digests. Change: the freshness is the contact limit; failures of the handling are logged as errors. Test: PlatformFeedTest.Reachable.catalogStaysFreshBetweenTwoAnswers (3 s, the default limit).

--- a/router/src/main/java/org/magnoliaseam/gateway/CurrentCatalog.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/CurrentCatalog.java
@@ -1,5 +1,6 @@
 package org.magnoliaseam.gateway;
 
+import java.time.Duration;
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.atomic.AtomicReference;
@@ -14,11 +15,6 @@
  */
 public final class CurrentCatalog {
 
-    /**
-     * The time since the last confirmation, in nanoseconds, from which a newer catalog may exist.
-     */
-    private static final long FRESH_NANOS = 4_000_000_000L;
-
     /** Logs changes of the catalog. */
     private static final Logger LOG = LogManager.getLogger("publication");
 
@@ -28,17 +24,24 @@
     /** The local monotonic time at which the publisher last confirmed the catalog. */
     private final AtomicLong mConfirmedNanos;
 
+    /**
+     * The time since the last confirmation, in nanoseconds, from which a newer catalog may exist.
+     */
+    private final long mFreshNanos;
+
     /** The clock. */
     private final MonotonicClock mClock;
 
     /**
      * Creates a holder without a catalog.
      *
+     * @param freshFor the time after a confirmation from which a newer catalog may exist
      * @param clock the clock
      */
-    public CurrentCatalog(MonotonicClock clock) {
+    public CurrentCatalog(Duration freshFor, MonotonicClock clock) {
+        mFreshNanos = freshFor.toNanos();
         mClock = clock;
-        mConfirmedNanos = new AtomicLong(clock.nanos() - FRESH_NANOS);
+        mConfirmedNanos = new AtomicLong(clock.nanos() - mFreshNanos);
     }
 
     /**
@@ -78,6 +81,6 @@
      * @return false if the missing route or key may have been published since the last confirmation
      */
     public boolean fresh() {
-        return mClock.nanos() - mConfirmedNanos.get() < FRESH_NANOS;
+        return mClock.nanos() - mConfirmedNanos.get() < mFreshNanos;
     }
 }
--- a/router/src/main/java/org/magnoliaseam/gossip/GossipNode.java
+++ b/router/src/main/java/org/magnoliaseam/gossip/GossipNode.java
@@ -195,8 +195,10 @@
                 if (!receiver.received(peer, buffer, packet.getLength())) {
                     handle(peer, DigestCodec.decode(buffer, packet.getLength()));
                 }
-            } catch (IOException | RuntimeException e) {
-                LOG.debug("gossip: could not process a digest, cause={}", e.getMessage());
+            } catch (IOException e) {
+                LOG.debug("gossip: could not read a datagram, cause={}", e.getMessage());
+            } catch (RuntimeException e) {
+                LOG.error("gossip: could not handle a datagram", e);
             }
         }
     }
--- a/router/src/main/java/org/magnoliaseam/route/GatewayFactory.java
+++ b/router/src/main/java/org/magnoliaseam/route/GatewayFactory.java
@@ -86,7 +86,7 @@
      * @return the process, not yet started
      */
     GatewayProcess process() {
-        CurrentCatalog currentCatalog = new CurrentCatalog(mClock);
+        CurrentCatalog currentCatalog = new CurrentCatalog(mSettings.storeContactLimit(), mClock);
         ServerPool pool =
                 new ServerPool(mSettings.failureDomain(), () -> retryLimits(mReload.get()), mClock);
         HttpClient client = client();
--- a/router/src/test/java/org/magnoliaseam/platform/PlatformFeedTest.java
+++ b/router/src/test/java/org/magnoliaseam/platform/PlatformFeedTest.java
@@ -46,7 +46,7 @@
 
     private final HttpClient mClient = new HttpClient();
 
-    private final CurrentCatalog mCatalog = new CurrentCatalog(System::nanoTime);
+    private final CurrentCatalog mCatalog = new CurrentCatalog(CONTACT_LIMIT, System::nanoTime);
 
     private final ServerPool mPool =
             new ServerPool(
@@ -160,6 +160,15 @@
             assertThat(mWatches).hasValue(1);
         }
 
+        @Test
+        void catalogStaysFreshBetweenTwoAnswers() throws InterruptedException {
+            long end = System.nanoTime() + CONTACT_LIMIT.toNanos();
+            while (System.nanoTime() < end) {
+                assertThat(mCatalog.fresh()).isTrue();
+                TimeUnit.MILLISECONDS.sleep(20);
+            }
+        }
+
         @Test
         void changeIsAppliedAtOnce() {
             mVersion = 2;
