--- a/router/src/test/java/org/magnoliaseam/gateway/ServerSelectorTest.java
+++ b/router/src/test/java/org/magnoliaseam/gateway/ServerSelectorTest.java
@@ -15,10 +15,12 @@
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.atomic.AtomicLong;
+import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.magnoliaseam.backend.BackendFailure;
 import org.magnoliaseam.catalog.RequestKind;
+import org.magnoliaseam.error.ErrorKind;
 import org.magnoliaseam.gossip.Digest;
 import org.magnoliaseam.gossip.PeerEndpoint;
 import org.magnoliaseam.gossip.ServerLoad;
@@ -235,4 +237,48 @@
             assertThat(pool.loads()).isEmpty();
         }
     }
+
+    /** Tests requests whose engines have no room. */
+    @Nested
+    class NoRoom {
+        private final ServerPool mPool =
+                new ServerPool(OWN_DOMAIN, () -> GatewayFixtures.RETRIES, () -> 1);
+
+        @BeforeEach
+        void publishEngines() {
+            for (int i = 0; i < 6; i++) {
+                mPool.published(server("engine-" + i, ENGINES, false));
+            }
+        }
+
+        private ServerChoice.Start start(GatewayRequest request) {
+            return (ServerChoice.Start) mPool.choose(request, Set.of(), true);
+        }
+
+        @Test
+        void longPromptWaitsInsteadOfUsingEnginesOfStrictStreams() {
+            GatewayRequest longPrompt = stream("b", 800, 5000);
+            start(stream("a", 200, 500));
+            ServerChoice choice = mPool.choose(longPrompt, Set.of(), false);
+            int refused = 0;
+            while (choice instanceof ServerChoice.Start start) {
+                mPool.permitRefused(start.server(), 1_000_000);
+                refused++;
+                choice = mPool.choose(longPrompt, Set.of(), false);
+            }
+            assertThat(choice).isEqualTo(new ServerChoice.Wait(ErrorKind.OVERLOADED, false));
+            assertThat(refused).isBetween(1, 5);
+        }
+
+        @Test
+        void requestWaitsForTheEngineThatCachesItsPromptBeforeItLeavesIt() {
+            GatewayRequest request = stream("part", 200, 500);
+            ServerChoice.Start first = start(request);
+            mPool.permitRefused(first.server(), 100);
+            assertThat(mPool.choose(request, Set.of(), true))
+                    .isEqualTo(new ServerChoice.Wait(ErrorKind.OVERLOADED, true));
+            ServerChoice.Start other = (ServerChoice.Start) mPool.choose(request, Set.of(), false);
+            assertThat(other.server()).isNotSameAs(first.server());
+        }
+    }
 }
