Log how long a call of the store was open and which revision is known

Cause: the lines on lost and regained contact had a count of failures and the text of an exception of up to 900 characters. They told neither whether an open call or a refused one kept contact away, nor how old the state was, so that a silent connection, a refusing store and a dropped change looked alike.

Change: call_ms, away_ms and revision in both lines, the class of the failure as their cause, and a line with version and revision for each configuration that is read.

--- a/router/src/main/java/org/magnoliaseam/platform/PlatformFeed.java
+++ b/router/src/main/java/org/magnoliaseam/platform/PlatformFeed.java
@@ -180,6 +180,10 @@
     private void applyConfiguration(StoreItem item) {
         Result<Catalog, String> decoded = CatalogDecoder.decode(item.value());
         if (decoded instanceof Result.Ok<Catalog, String> ok) {
+            LOG.info(
+                    "store: configuration read, version={} revision={}",
+                    ok.value().version(),
+                    item.revision());
             mCurrentCatalog.offer(ok.value());
         } else if (decoded instanceof Result.Err<Catalog, String> err) {
             LOG.error(
--- a/router/src/main/java/org/magnoliaseam/platform/StoreClient.java
+++ b/router/src/main/java/org/magnoliaseam/platform/StoreClient.java
@@ -111,7 +111,7 @@
             }
             return MAPPER.readTree(response.getContent());
         } catch (ExecutionException e) {
-            throw new StoreException(String.valueOf(e.getCause()), 0);
+            throw new StoreException(e.getCause().getClass().getSimpleName(), 0);
         } catch (TimeoutException e) {
             request.abort(e);
             throw new StoreException("no response", 0);
--- a/router/src/main/java/org/magnoliaseam/platform/StoreWatch.java
+++ b/router/src/main/java/org/magnoliaseam/platform/StoreWatch.java
@@ -54,6 +54,12 @@
     /** The number of consecutive failed calls. */
     private int mFailures;
 
+    /** The local monotonic time at which the current call started. */
+    private long mCallNanos = System.nanoTime();
+
+    /** The local monotonic time of the last successful call. */
+    private long mContactNanos = mCallNanos;
+
     /**
      * Creates a watch.
      *
@@ -98,6 +104,7 @@
      * @throws InterruptedException if the thread was interrupted
      */
     private void readNext() throws StoreException, InterruptedException {
+        mCallNanos = System.nanoTime();
         if (mRevision < 0) {
             readAll();
             return;
@@ -137,11 +144,18 @@
 
     /** Records a successful call. */
     private void recordSuccess() {
+        long now = System.nanoTime();
         if (mFailures > 0) {
-            LOG.info("store: contact regained, prefix={} failures={}", mPrefix, mFailures);
+            LOG.info(
+                    "store: contact regained, failures={} call_ms={} away_ms={} revision={}",
+                    mFailures,
+                    TimeUnit.NANOSECONDS.toMillis(now - mCallNanos),
+                    TimeUnit.NANOSECONDS.toMillis(now - mContactNanos),
+                    mRevision);
             mFailures = 0;
             mListener.reconnected();
         }
+        mContactNanos = now;
     }
 
     /**
@@ -157,7 +171,13 @@
             return;
         }
         if (mFailures == 0) {
-            LOG.warn("store: contact lost, prefix={} cause={}", mPrefix, cause.getMessage());
+            long now = System.nanoTime();
+            LOG.warn(
+                    "store: contact lost, call_ms={} away_ms={} revision={} cause={}",
+                    TimeUnit.NANOSECONDS.toMillis(now - mCallNanos),
+                    TimeUnit.NANOSECONDS.toMillis(now - mContactNanos),
+                    mRevision,
+                    cause.getMessage());
         }
         mFailures++;
         pause();
