Call the store again if a peer has a change that the open call lacks

Cause: one source and one call. An entry VM whose call is open on a silent connection learns nothing from peers that have the change, so its time limit alone decides.

Change: digests carry the revision of the newest applied change. If a peer has one that is not here 250 ms later, a call that does not wait starts beside the open one, at most once in a contact limit, so that a peer with wrong revisions costs few calls. The digest grows by up to nine bytes.

Ruled out: the configuration itself in digests, which are datagrams of at most 60 KB where a configuration may have a megabyte.

Figures: PlatformFeedTest.Peers, a stalled connection beside a peer's report: red within 800 ms with the call to overdue() replaced, green with it.

Conclusion: a connection that fell silent is replaced after about 0.3 s if one peer has the change, and after the time limit as before if none has.

--- a/router/src/main/java/org/magnoliaseam/gateway/ServerPool.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/ServerPool.java
@@ -1,19 +1,16 @@
 package org.magnoliaseam.gateway;
 
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.List;
 import java.util.Set;
 import java.util.function.Supplier;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.magnoliaseam.backend.BackendFailure;
-import org.magnoliaseam.catalog.ServerEntry;
 import org.magnoliaseam.catalog.Service;
 import org.magnoliaseam.error.ErrorKind;
 import org.magnoliaseam.gossip.Demand;
 import org.magnoliaseam.gossip.Digest;
-import org.magnoliaseam.gossip.GossipListener;
 import org.magnoliaseam.gossip.Membership;
 import org.magnoliaseam.gossip.PartRead;
 import org.magnoliaseam.gossip.PeerEndpoint;
@@ -26,7 +23,7 @@
  * Tracks the published backend servers and their load, and selects one for each attempt.
  * Thread-safe.
  */
-public final class ServerPool implements GossipListener {
+public final class ServerPool {
 
     /** Logs changes of the other entry VMs. */
     private static final Logger LOG = LogManager.getLogger("board");
@@ -71,48 +68,12 @@
     }
 
     /**
-     * Adds or updates a published backend server.
+     * Returns the receiver of changes of the published backend servers.
      *
-     * @param entry the entry
+     * @return the receiver
      */
-    public synchronized void published(ServerEntry entry) {
-        mServers.published(entry, mClock.nanos());
-    }
-
-    /**
-     * Records that the publisher is reachable again after an outage. Entries that expired during
-     * the outage are published again shortly if their backend servers are alive.
-     */
-    public synchronized void publisherReturned() {
-        mServers.publisherReturned(mClock.nanos());
-    }
-
-    /**
-     * Removes a backend server that is no longer published. Shortly after an outage of the
-     * publisher the removal is delayed, since the server may be published again.
-     *
-     * @param id the backend server
-     */
-    public synchronized void withdrawn(BackendServerId id) {
-        mServers.withdrawn(id, mClock.nanos());
-    }
-
-    /**
-     * Removes all backend servers that a full list lacks.
-     *
-     * @param listed the backend servers in the list
-     */
-    public synchronized void retain(Set<BackendServerId> listed) {
-        mServers.retain(listed, mClock.nanos());
-    }
-
-    /**
-     * Sets the failure domains that are out of service.
-     *
-     * @param out the failure domains that get no new work
-     */
-    public synchronized void outOfService(Collection<FailureDomain> out) {
-        mServers.outOfService(out);
+    public PublishedServers publishedServers() {
+        return new PublishedServers(this, mServers, mClock);
     }
 
     /**
@@ -124,8 +85,12 @@
         return mServers.all().size();
     }
 
-    @Override
-    public synchronized List<ServerLoad> loads() {
+    /**
+     * Returns the load that this entry VM puts on backend servers.
+     *
+     * @return the loads that are not zero
+     */
+    synchronized List<ServerLoad> loads() {
         List<ServerLoad> loads = new ArrayList<>();
         for (BackendServerState state : mServers.all()) {
             if (state.running() > 0) {
@@ -135,18 +100,32 @@
         return loads;
     }
 
-    @Override
-    public synchronized List<Demand> demands() {
+    /**
+     * Returns the recent demand at this entry VM.
+     *
+     * @return the demands
+     */
+    synchronized List<Demand> demands() {
         return mSelector.demands(mClock.nanos());
     }
 
-    @Override
-    public synchronized List<PartRead> reads(int digests) {
+    /**
+     * Returns the prompt parts that this entry VM has sent to backend servers lately.
+     *
+     * @param digests the number of digests that include each part
+     * @return the parts
+     */
+    synchronized List<PartRead> reads(int digests) {
         return mRecentParts.next(digests);
     }
 
-    @Override
-    public synchronized void heard(PeerEndpoint peer, Digest digest) {
+    /**
+     * Records the load of another entry VM and the prompt parts that it sent.
+     *
+     * @param peer the entry VM
+     * @param digest its digest
+     */
+    synchronized void heard(PeerEndpoint peer, Digest digest) {
         mPeerLoads.heard(peer, digest, mClock.nanos());
         for (PartRead read : digest.reads()) {
             BackendServerState state = mServers.find(read.server());
@@ -156,8 +135,12 @@
         }
     }
 
-    @Override
-    public synchronized void members(Membership members) {
+    /**
+     * Sets the entry VMs that share limits; called periodically.
+     *
+     * @param members the entry VMs that may be alive
+     */
+    synchronized void members(Membership members) {
         mPeerLoads.expire(mClock.nanos());
         mServers.removeExpired(mClock.nanos());
         if (members.vms() != mShares.vms()) {
--- a/router/src/main/java/org/magnoliaseam/gossip/Digest.java
+++ b/router/src/main/java/org/magnoliaseam/gossip/Digest.java
@@ -9,6 +9,8 @@
  * @param sequence the number of the digest within the incarnation
  * @param vms the number of entry VMs that the sender has received digests from lately, including
  *     itself
+ * @param publishedRevision the revision of the newest change of the publisher that the sender has
+ *     applied; 0 if none
  * @param peers some entry VMs that the sender receives digests from
  * @param loads the load that it puts on backend servers
  * @param demands its recent demand
@@ -18,6 +20,7 @@
         long incarnation,
         long sequence,
         int vms,
+        long publishedRevision,
         List<PeerEndpoint> peers,
         List<ServerLoad> loads,
         List<Demand> demands,
--- a/router/src/main/java/org/magnoliaseam/gossip/DigestCodec.java
+++ b/router/src/main/java/org/magnoliaseam/gossip/DigestCodec.java
@@ -14,7 +14,7 @@
 final class DigestCodec {
 
     /** The version of the format. */
-    private static final int FORMAT = 2;
+    private static final int FORMAT = 4;
 
     /** The largest number of elements in a list. */
     private static final int MAX_ELEMENTS = 4096;
@@ -35,6 +35,7 @@
             packer.packLong(digest.incarnation());
             packer.packLong(digest.sequence());
             packer.packInt(digest.vms());
+            packer.packLong(digest.publishedRevision());
             packer.packArrayHeader(digest.peers().size());
             for (PeerEndpoint peer : digest.peers()) {
                 packer.packString(peer.host());
@@ -78,10 +79,12 @@
             long incarnation = unpacker.unpackLong();
             long sequence = unpacker.unpackLong();
             int vms = unpacker.unpackInt();
+            long publishedRevision = unpacker.unpackLong();
             return new Digest(
                     incarnation,
                     sequence,
                     vms,
+                    publishedRevision,
                     list(unpacker, DigestCodec::peer),
                     list(unpacker, DigestCodec::load),
                     list(unpacker, DigestCodec::demand),
--- a/router/src/main/java/org/magnoliaseam/gossip/GossipListener.java
+++ b/router/src/main/java/org/magnoliaseam/gossip/GossipListener.java
@@ -5,6 +5,13 @@
 /** Supplies the state to report to the other entry VMs, and receives their digests. */
 public interface GossipListener {
 
+    /**
+     * Returns the revision of the newest change of the publisher that this entry VM has applied.
+     *
+     * @return the revision; 0 if none
+     */
+    long publishedRevision();
+
     /**
      * Returns the load that this entry VM puts on backend servers.
      *
--- a/router/src/main/java/org/magnoliaseam/gossip/GossipNode.java
+++ b/router/src/main/java/org/magnoliaseam/gossip/GossipNode.java
@@ -152,6 +152,7 @@
                         mIncarnation,
                         ++mSequence,
                         mPeers.recentlyHeardCount(now),
+                        mListener.publishedRevision(),
                         live.subList(0, Math.min(MAX_NAMED_PEERS, live.size())),
                         mListener.loads(),
                         mListener.demands(),
--- a/router/src/main/java/org/magnoliaseam/platform/PlatformFeed.java
+++ b/router/src/main/java/org/magnoliaseam/platform/PlatformFeed.java
@@ -13,10 +13,12 @@
 import org.magnoliaseam.catalog.ServerEntry;
 import org.magnoliaseam.error.Result;
 import org.magnoliaseam.gateway.CurrentCatalog;
-import org.magnoliaseam.gateway.ServerPool;
+import org.magnoliaseam.gateway.PublishedRevision;
+import org.magnoliaseam.gateway.PublishedServers;
 import org.magnoliaseam.model.BackendServerId;
 import org.magnoliaseam.model.FailureDomain;
 import org.magnoliaseam.rollout.ContactSchedule;
+import org.magnoliaseam.rollout.OverdueChange;
 import org.magnoliaseam.settings.StoreSettings;
 import org.magnoliaseam.time.MonotonicClock;
 
@@ -42,7 +44,10 @@
     private final CurrentCatalog mCurrentCatalog;
 
     /** Receives the backend servers. */
-    private final ServerPool mPool;
+    private final PublishedServers mServers;
+
+    /** Receives the revisions of applied changes. */
+    private final PublishedRevision mPublished;
 
     /** Watches all keys, since each call of the store counts. */
     private final StoreWatch mWatch;
@@ -59,21 +64,26 @@
      * @param settings the settings of the process
      * @param client the started HTTP client
      * @param currentCatalog receives the configuration
-     * @param pool receives the backend servers
+     * @param servers receives the backend servers
+     * @param published receives the revisions of changes, and tells which ones peers have
      * @param clock the clock
      */
     public PlatformFeed(
             StoreSettings settings,
             HttpClient client,
             CurrentCatalog currentCatalog,
-            ServerPool pool,
+            PublishedServers servers,
+            PublishedRevision published,
             MonotonicClock clock) {
         mCurrentCatalog = currentCatalog;
-        mPool = pool;
+        mServers = servers;
+        mPublished = published;
         StoreClient store = new StoreClient(client, settings.storeAddress());
         ContactSchedule schedule =
                 new ContactSchedule(settings.storeContactLimit(), new Random(), clock.nanos());
-        mWatch = new StoreWatch(store, ALL_KEYS, schedule, listener(), clock);
+        OverdueChange overdue = new OverdueChange(settings.storeContactLimit(), clock.nanos());
+        mWatch = new StoreWatch(store, ALL_KEYS, schedule, overdue, listener(), clock);
+        published.observe(mWatch::heard);
     }
 
     /** Starts watching the store. */
@@ -108,20 +118,20 @@
             public void snapshot(List<StoreItem> items) {
                 mOutOfService.clear();
                 items.forEach(PlatformFeed.this::apply);
-                mPool.outOfService(mOutOfService);
-                mPool.retain(listed(items));
+                mServers.takeOut(mOutOfService);
+                mServers.retain(listed(items));
                 mRead.set(true);
             }
 
             @Override
             public void changed(List<StoreItem> changes) {
                 changes.forEach(PlatformFeed.this::apply);
-                mPool.outOfService(mOutOfService);
+                mServers.takeOut(mOutOfService);
             }
 
             @Override
             public void reconnected() {
-                mPool.publisherReturned();
+                mServers.publisherReturned();
             }
 
             @Override
@@ -153,6 +163,7 @@
      * @param item the item or its removal
      */
     private void apply(StoreItem item) {
+        mPublished.applied(item.revision());
         if (item.key().startsWith(SERVER_PREFIX)) {
             applyServerItem(item);
         } else {
@@ -211,14 +222,14 @@
         if (id.isEmpty()) {
             LOG.warn("store: entry refused, key={} reason=the id is malformed", item.key());
         } else if (item.removed()) {
-            mPool.withdrawn(id.get());
+            mServers.withdraw(id.get());
         } else {
             Result<ServerEntry, String> decoded = ServerDecoder.decode(id.get(), item.value());
             if (decoded instanceof Result.Ok<ServerEntry, String> ok) {
-                mPool.published(ok.value());
+                mServers.add(ok.value());
             } else if (decoded instanceof Result.Err<ServerEntry, String> err) {
                 LOG.warn("store: entry refused, key={} reason={}", item.key(), err.error());
-                mPool.withdrawn(id.get());
+                mServers.withdraw(id.get());
             }
         }
     }
--- a/router/src/main/java/org/magnoliaseam/platform/StoreWatch.java
+++ b/router/src/main/java/org/magnoliaseam/platform/StoreWatch.java
@@ -10,6 +10,7 @@
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.magnoliaseam.rollout.ContactSchedule;
+import org.magnoliaseam.rollout.OverdueChange;
 import org.magnoliaseam.time.MonotonicClock;
 
 /**
@@ -37,14 +38,17 @@
     /** Decides when to call. */
     private final ContactSchedule mSchedule;
 
+    /** Decides when a change that a peer has is overdue. */
+    private final OverdueChange mOverdue;
+
     /** Receives the items. */
     private final StoreListener mListener;
 
     /** The clock. */
     private final MonotonicClock mClock;
 
-    /** The ends of calls, to be handled on the thread of the watch. */
-    private final BlockingQueue<Runnable> mEnds = new LinkedBlockingQueue<>();
+    /** The ends of calls and reports of peers, to be handled on the thread of the watch. */
+    private final BlockingQueue<Runnable> mEvents = new LinkedBlockingQueue<>();
 
     /** The calls whose answer counts. */
     private final Set<Call> mOpen = new HashSet<>();
@@ -80,6 +84,7 @@
      * @param client calls the store
      * @param prefix the prefix of the keys
      * @param schedule decides when to call
+     * @param overdue decides when a change that a peer has is overdue
      * @param listener receives the items
      * @param clock the clock
      */
@@ -87,11 +92,13 @@
             StoreClient client,
             String prefix,
             ContactSchedule schedule,
+            OverdueChange overdue,
             StoreListener listener,
             MonotonicClock clock) {
         mClient = client;
         mPrefix = prefix;
         mSchedule = schedule;
+        mOverdue = overdue;
         mListener = listener;
         mClock = clock;
         mContactNanos = clock.nanos();
@@ -100,19 +107,29 @@
     /** Ends the watch. */
     void stop() {
         mStopped = true;
-        mEnds.add(() -> {});
+        mEvents.add(() -> {});
+    }
+
+    /**
+     * Receives the revision of a change that another entry VM has applied. It is ignored without
+     * contact, when calls are made at intervals anyway. Called on any thread.
+     *
+     * @param revision the revision
+     */
+    void heard(long revision) {
+        mEvents.add(
+                () -> {
+                    if (mFailures == 0) {
+                        mOverdue.heard(revision, mRevision, mClock.nanos());
+                    }
+                });
     }
 
     @Override
     public void run() {
         while (!mStopped) {
             try {
-                long untilCall = mSchedule.nanosUntilCall(mClock.nanos());
-                if (untilCall <= 0) {
-                    startCall();
-                } else {
-                    handleNext(untilCall);
-                }
+                runOnce();
             } catch (InterruptedException e) {
                 Thread.currentThread().interrupt();
                 return;
@@ -123,15 +140,27 @@
     }
 
     /**
-     * Handles the end of a call, if one ends in time.
+     * Starts a call if one is due, and otherwise waits for the next event.
      *
-     * @param nanos the time to wait in nanoseconds
      * @throws InterruptedException if the thread was interrupted
      */
-    private void handleNext(long nanos) throws InterruptedException {
-        Runnable end = mEnds.poll(nanos, TimeUnit.NANOSECONDS);
-        if (end != null) {
-            end.run();
+    private void runOnce() throws InterruptedException {
+        long now = mClock.nanos();
+        long untilCall = mSchedule.nanosUntilCall(now);
+        long untilOverdue = mOverdue.nanosUntilOverdue(mRevision, now);
+        if (untilCall <= 0) {
+            startCall();
+        } else if (untilOverdue <= 0) {
+            LOG.info(
+                    "store: change of a peer is overdue, revision={} known={}",
+                    mOverdue.take(now),
+                    mRevision);
+            mSchedule.overdue(now);
+        } else {
+            Runnable event = mEvents.poll(Math.min(untilCall, untilOverdue), TimeUnit.NANOSECONDS);
+            if (event != null) {
+                event.run();
+            }
         }
     }
 
@@ -144,7 +173,7 @@
         try {
             send(call)
                     .whenComplete(
-                            (answer, failure) -> mEnds.add(() -> ended(call, answer, failure)));
+                            (answer, failure) -> mEvents.add(() -> ended(call, answer, failure)));
         } catch (RuntimeException e) {
             ended(call, null, e);
         }
--- /dev/null
+++ b/router/src/main/java/org/magnoliaseam/rollout/OverdueChange.java
@@ -0,0 +1,83 @@
+package org.magnoliaseam.rollout;
+
+import java.time.Duration;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Decides when a change that another entry VM has applied is overdue, which indicates that the open
+ * call of the publisher is on a silent connection. Not thread-safe.
+ */
+public final class OverdueChange {
+
+    /** Stands for no expected revision. */
+    private static final long NONE = Long.MIN_VALUE;
+
+    /** The time in which the open call usually returns a change that a peer already has. */
+    private static final long GRACE_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
+
+    /** The shortest time between two changes that count as overdue, in nanoseconds. */
+    private final long mGapNanos;
+
+    /** The revision that a peer has; at most the known one if none is expected. */
+    private long mRevision = NONE;
+
+    /** The local monotonic time at which a peer reported the revision. */
+    private long mHeardNanos;
+
+    /** The local monotonic time before which no change counts as overdue. */
+    private long mNotBeforeNanos;
+
+    /**
+     * Creates an instance that expects no change.
+     *
+     * @param gap the shortest time between two changes that count as overdue, which bounds the
+     *     calls if a peer reports revisions that the publisher never had
+     * @param nowNanos the local monotonic time
+     */
+    public OverdueChange(Duration gap, long nowNanos) {
+        mGapNanos = gap.toNanos();
+        mNotBeforeNanos = nowNanos;
+    }
+
+    /**
+     * Records a revision that another entry VM has applied.
+     *
+     * @param revision the revision
+     * @param known the revision up to which changes are known here
+     * @param nowNanos the local monotonic time
+     */
+    public void heard(long revision, long known, long nowNanos) {
+        if (revision > known && mRevision <= known) {
+            mRevision = revision;
+            mHeardNanos = nowNanos;
+        }
+    }
+
+    /**
+     * Returns the time until the expected change is overdue.
+     *
+     * @param known the revision up to which changes are known here
+     * @param nowNanos the local monotonic time
+     * @return the time in nanoseconds, at most 0 if it is overdue; {@link Long#MAX_VALUE} if no
+     *     change is expected
+     */
+    public long nanosUntilOverdue(long known, long nowNanos) {
+        if (mRevision <= known) {
+            return Long.MAX_VALUE;
+        }
+        return Math.max(mHeardNanos + GRACE_NANOS - nowNanos, mNotBeforeNanos - nowNanos);
+    }
+
+    /**
+     * Stops expecting the change and returns its revision.
+     *
+     * @param nowNanos the local monotonic time
+     * @return the revision that a peer has
+     */
+    public long take(long nowNanos) {
+        long revision = mRevision;
+        mRevision = NONE;
+        mNotBeforeNanos = nowNanos + mGapNanos;
+        return revision;
+    }
+}
--- a/router/src/main/java/org/magnoliaseam/route/GatewayFactory.java
+++ b/router/src/main/java/org/magnoliaseam/route/GatewayFactory.java
@@ -17,6 +17,8 @@
 import org.magnoliaseam.gateway.CurrentCatalog;
 import org.magnoliaseam.gateway.Gateway;
 import org.magnoliaseam.gateway.GatewayParts;
+import org.magnoliaseam.gateway.PoolGossip;
+import org.magnoliaseam.gateway.PublishedRevision;
 import org.magnoliaseam.gateway.RequestLog;
 import org.magnoliaseam.gateway.RetryLimits;
 import org.magnoliaseam.gateway.ServerPool;
@@ -93,13 +95,25 @@
         ServerProtocol serverProtocol = new ServerProtocol(client, mClock);
         MetricRegistry metrics = new MetricRegistry();
         RequestLog log = new RequestLog(metrics);
+        PublishedRevision published = new PublishedRevision();
         GossipNode gossip =
-                new GossipNode(mSettings.peersAddress(), mSettings.seeds(), pool, mClock);
+                new GossipNode(
+                        mSettings.peersAddress(),
+                        mSettings.seeds(),
+                        new PoolGossip(pool, published),
+                        mClock);
         GatewayParts parts =
                 new GatewayParts(pool, serverProtocol, new PermitDatagrams(gossip), log, mClock);
         Gateway gateway = new Gateway(parts);
         gauges(metrics, currentCatalog, pool, gateway);
-        PlatformFeed feed = new PlatformFeed(mSettings, client, currentCatalog, pool, mClock);
+        PlatformFeed feed =
+                new PlatformFeed(
+                        mSettings,
+                        client,
+                        currentCatalog,
+                        pool.publishedServers(),
+                        published,
+                        mClock);
         CallerProtocol callers = new CallerProtocol(currentCatalog, gateway, mShutdown, mClock);
         ReadinessHandler readiness =
                 new ReadinessHandler(() -> feed.complete() && !mShutdown.leaving());
--- a/router/src/test/java/org/magnoliaseam/gateway/GatewayCallTest.java
+++ b/router/src/test/java/org/magnoliaseam/gateway/GatewayCallTest.java
@@ -131,8 +131,8 @@
     @BeforeEach
     void publishServers() {
         for (String id : List.of("a", "b", "c")) {
-            mPool.published(server("engine-" + id, ENGINES, false));
-            mPool.published(server("desk-" + id, DESK, false));
+            mPool.publishedServers().add(server("engine-" + id, ENGINES, false));
+            mPool.publishedServers().add(server("desk-" + id, DESK, false));
         }
     }
 
@@ -330,16 +330,16 @@
         void drainingServerIsNotConfirmed() {
             submit(RequestKind.REPEATABLE, 1, false);
             String id = mBackend.lastOrder().server().id().value();
-            mPool.published(server(id, DESK, true));
+            mPool.publishedServers().add(server(id, DESK, true));
             assertThat(mBackend.last().sending()).isFalse();
         }
 
         @Test
         void failureDomainOutOfServiceGetsNoRequests() {
-            mPool.outOfService(Set.of(OWN_DOMAIN));
+            mPool.publishedServers().takeOut(Set.of(OWN_DOMAIN));
             submit(RequestKind.REPEATABLE, 1, false);
             assertThat(mBackend.mOrders).isEmpty();
-            mPool.outOfService(Set.of(new FailureDomain("elsewhere")));
+            mPool.publishedServers().takeOut(Set.of(new FailureDomain("elsewhere")));
             mGateway.tick();
             assertThat(mBackend.mOrders).hasSize(1);
         }
--- a/router/src/test/java/org/magnoliaseam/gateway/ServerSelectorTest.java
+++ b/router/src/test/java/org/magnoliaseam/gateway/ServerSelectorTest.java
@@ -75,7 +75,7 @@
             mSelector.started(request, request.prompt().tokens(), 0);
             BackendServerState preferred = choose(mSelector, request);
             ServerLoad load = new ServerLoad(preferred.id(), 40, 100_000);
-            Digest digest = new Digest(1, 1, 1, List.of(), List.of(load), List.of(), List.of());
+            Digest digest = new Digest(1, 1, 1, 0, List.of(), List.of(load), List.of(), List.of());
             mPeerLoads.heard(new PeerEndpoint("127.0.0.1", 1), digest, 0);
             assertThat(choose(mSelector, request)).isNotSameAs(preferred);
             mPeerLoads.expire(1000 * MILLI);
@@ -163,9 +163,9 @@
 
         @Test
         void expiredEntryIsKeptUntilTheRepublicationTimeEnds() {
-            mPool.published(server("desk", DESK, false));
-            mPool.publisherReturned();
-            mPool.withdrawn(new BackendServerId("desk"));
+            mPool.publishedServers().add(server("desk", DESK, false));
+            mPool.publishedServers().publisherReturned();
+            mPool.publishedServers().withdraw(new BackendServerId("desk"));
             assertThat(mPool.size()).isEqualTo(1);
             mNow.set(3000 * MILLI);
             mPool.members(GatewayFixtures.members(4));
@@ -174,10 +174,10 @@
 
         @Test
         void republishedEntryIsKept() {
-            mPool.published(server("desk", DESK, false));
-            mPool.publisherReturned();
-            mPool.withdrawn(new BackendServerId("desk"));
-            mPool.published(server("desk", DESK, false));
+            mPool.publishedServers().add(server("desk", DESK, false));
+            mPool.publishedServers().publisherReturned();
+            mPool.publishedServers().withdraw(new BackendServerId("desk"));
+            mPool.publishedServers().add(server("desk", DESK, false));
             mNow.set(3000 * MILLI);
             mPool.members(GatewayFixtures.members(4));
             assertThat(mPool.size()).isEqualTo(1);
@@ -185,9 +185,9 @@
 
         @Test
         void drainingServerIsRemovedAtOnce() {
-            mPool.published(server("desk", DESK, true));
-            mPool.publisherReturned();
-            mPool.withdrawn(new BackendServerId("desk"));
+            mPool.publishedServers().add(server("desk", DESK, true));
+            mPool.publishedServers().publisherReturned();
+            mPool.publishedServers().withdraw(new BackendServerId("desk"));
             assertThat(mPool.size()).isZero();
         }
     }
@@ -227,12 +227,12 @@
         @Test
         void serverRepublishedDuringAnAttemptDoesNotCountItTwice() {
             ServerPool pool = new ServerPool(OWN_DOMAIN, () -> GatewayFixtures.RETRIES, () -> 1);
-            pool.published(server("desk", DESK, false));
+            pool.publishedServers().add(server("desk", DESK, false));
             GatewayRequest request =
                     request("r", route(RequestKind.ONCE, 1, false, 0), Prompt.NONE);
             ServerChoice.Start start = (ServerChoice.Start) pool.choose(request, Set.of(), true);
-            pool.withdrawn(new BackendServerId("desk"));
-            pool.published(server("desk", DESK, false));
+            pool.publishedServers().withdraw(new BackendServerId("desk"));
+            pool.publishedServers().add(server("desk", DESK, false));
             pool.failed(start.server(), request.service(), BackendFailure.REFUSED);
             assertThat(pool.loads()).isEmpty();
         }
@@ -247,7 +247,7 @@
         @BeforeEach
         void publishEngines() {
             for (int i = 0; i < 6; i++) {
-                mPool.published(server("engine-" + i, ENGINES, false));
+                mPool.publishedServers().add(server("engine-" + i, ENGINES, false));
             }
         }
 
--- a/router/src/test/java/org/magnoliaseam/gateway/SimulatedFleet.java
+++ b/router/src/test/java/org/magnoliaseam/gateway/SimulatedFleet.java
@@ -193,7 +193,8 @@
                     new ServerPool(
                             GatewayFixtures.OWN_DOMAIN, () -> GatewayFixtures.RETRIES, () -> mNow);
             for (int i = 0; i < engines; i++) {
-                pool.published(GatewayFixtures.server("e" + i, GatewayFixtures.ENGINES, false));
+                pool.publishedServers()
+                        .add(GatewayFixtures.server("e" + i, GatewayFixtures.ENGINES, false));
             }
             pool.members(GatewayFixtures.members(vm, gateways));
             mPools.add(pool);
@@ -274,6 +275,7 @@
                             1,
                             mNow,
                             mPools.size(),
+                            0,
                             List.of(),
                             pool.loads(),
                             pool.demands(),
--- a/router/src/test/java/org/magnoliaseam/gossip/GossipTest.java
+++ b/router/src/test/java/org/magnoliaseam/gossip/GossipTest.java
@@ -30,6 +30,7 @@
                 7,
                 8,
                 6,
+                41,
                 List.of(SEED),
                 List.of(new ServerLoad(new BackendServerId("s"), 3, 4000)),
                 List.of(new Demand(new ServiceName("x"), 200, 1.5)),
@@ -38,7 +39,7 @@
 
     /** Creates a digest of a peer that counts a number of entry VMs and names some. */
     private static Digest digestOf(int vms, PeerEndpoint... named) {
-        return new Digest(7, 8, vms, List.of(named), List.of(), List.of(), List.of());
+        return new Digest(7, 8, vms, 0, List.of(named), List.of(), List.of(), List.of());
     }
 
     @Test
--- a/router/src/test/java/org/magnoliaseam/platform/PlatformFeedTest.java
+++ b/router/src/test/java/org/magnoliaseam/platform/PlatformFeedTest.java
@@ -23,6 +23,7 @@
 import org.junit.jupiter.api.Test;
 import org.magnoliaseam.catalog.Catalog;
 import org.magnoliaseam.gateway.CurrentCatalog;
+import org.magnoliaseam.gateway.PublishedRevision;
 import org.magnoliaseam.gateway.RetryLimits;
 import org.magnoliaseam.gateway.ServerPool;
 import org.magnoliaseam.model.FailureDomain;
@@ -52,6 +53,8 @@
             new ServerPool(
                     new FailureDomain("domain-1"), () -> new RetryLimits(0, 0), System::nanoTime);
 
+    private final PublishedRevision mPublished = new PublishedRevision();
+
     private final AtomicInteger mWatches = new AtomicInteger();
 
     private HttpServer mStore;
@@ -60,6 +63,9 @@
 
     private volatile boolean mSilent;
 
+    /** Whether calls that are open get no response while later ones do. */
+    private volatile boolean mStalled;
+
     private volatile int mVersion = 1;
 
     @BeforeEach
@@ -70,7 +76,14 @@
         mStore.createContext("/-/kv-range", this::range);
         mStore.createContext("/-/kv-watch", this::watch);
         mStore.start();
-        mFeed = new PlatformFeed(settings(), mClient, mCatalog, mPool, System::nanoTime);
+        mFeed =
+                new PlatformFeed(
+                        settings(),
+                        mClient,
+                        mCatalog,
+                        mPool.publishedServers(),
+                        mPublished,
+                        System::nanoTime);
         mFeed.start();
         await().atMost(Duration.ofSeconds(5)).until(mFeed::complete);
     }
@@ -122,10 +135,11 @@
         long after = Long.parseLong(query.replaceAll(".*after=(\\d+).*", "$1"));
         long wait = Long.parseLong(query.replaceAll(".*wait_ms=(\\d+).*", "$1"));
         boolean silent = mSilent;
+        boolean stalled = mStalled;
         try {
             for (long waited = 0; silent || waited < wait && after >= 10 + mVersion; waited += 5) {
                 TimeUnit.MILLISECONDS.sleep(5);
-                silent |= mSilent;
+                silent |= mSilent || mStalled != stalled;
             }
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
@@ -189,4 +203,18 @@
             await().atMost(CONTACT_LIMIT).until(() -> version() == 2);
         }
     }
+
+    /** Tests reports of entry VMs that have a newer state. */
+    @Nested
+    class Peers {
+        @Test
+        void changeThatAPeerHasIsAppliedSoonAlthoughTheOpenCallIsSilent() {
+            int before = mWatches.get();
+            await().atMost(Duration.ofSeconds(10)).until(() -> mWatches.get() > before);
+            mStalled = true;
+            mVersion = 2;
+            mPublished.heard(12);
+            await().atMost(Duration.ofMillis(800)).until(() -> version() == 2);
+        }
+    }
 }
--- a/router/src/test/java/org/magnoliaseam/platform/StoreOutageTest.java
+++ b/router/src/test/java/org/magnoliaseam/platform/StoreOutageTest.java
@@ -16,6 +16,7 @@
 import org.junit.jupiter.api.Test;
 import org.magnoliaseam.catalog.Catalog;
 import org.magnoliaseam.gateway.CurrentCatalog;
+import org.magnoliaseam.gateway.PublishedRevision;
 import org.magnoliaseam.gateway.RetryLimits;
 import org.magnoliaseam.gateway.ServerPool;
 import org.magnoliaseam.model.FailureDomain;
@@ -79,7 +80,12 @@
                             System::nanoTime);
             mFeed =
                     new PlatformFeed(
-                            settings(mStore.address()), mClient, mCatalog, pool, System::nanoTime);
+                            settings(mStore.address()),
+                            mClient,
+                            mCatalog,
+                            pool.publishedServers(),
+                            new PublishedRevision(),
+                            System::nanoTime);
             mFeed.start();
         }
 
--- /dev/null
+++ b/router/src/test/java/org/magnoliaseam/rollout/OverdueChangeTest.java
@@ -0,0 +1,48 @@
+package org.magnoliaseam.rollout;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import org.junit.jupiter.api.Test;
+
+/** Tests when a change that a peer has counts as overdue. */
+class OverdueChangeTest {
+
+    private static final long MILLI = 1_000_000;
+
+    private final OverdueChange mChange = new OverdueChange(Duration.ofSeconds(3), 0);
+
+    @Test
+    void changeThatIsAppliedInTimeIsNeverOverdue() {
+        mChange.heard(8, 7, 0);
+        assertThat(mChange.nanosUntilOverdue(7, 100 * MILLI)).isEqualTo(150 * MILLI);
+        assertThat(mChange.nanosUntilOverdue(8, 300 * MILLI)).isEqualTo(Long.MAX_VALUE);
+    }
+
+    @Test
+    void laterReportsDoNotPostponeAnOverdueChange() {
+        mChange.heard(8, 7, 0);
+        mChange.heard(9, 7, 200 * MILLI);
+        assertThat(mChange.nanosUntilOverdue(7, 250 * MILLI)).isZero();
+        assertThat(mChange.take(250 * MILLI)).isEqualTo(8);
+    }
+
+    @Test
+    void knownRevisionIsNotExpected() {
+        mChange.heard(7, 7, 0);
+        assertThat(mChange.nanosUntilOverdue(7, 300 * MILLI)).isEqualTo(Long.MAX_VALUE);
+    }
+
+    @Test
+    void revisionThatThePublisherNeverHadCausesFewCalls() {
+        int calls = 0;
+        for (long now = 0; now < 60_000; now += 10) {
+            mChange.heard(1_000_000, 7, now * MILLI);
+            if (mChange.nanosUntilOverdue(7, now * MILLI) <= 0) {
+                mChange.take(now * MILLI);
+                calls++;
+            }
+        }
+        assertThat(calls).isLessThanOrEqualTo(20);
+    }
+}
