Apply the other changes if one change of the store cannot be applied

Callers would see: an entry VM whose configuration, backend servers and failure domains out of service stay as they are until it restarts.

Cause: a key under op/evacuate/ that is no valid name of a failure domain threw out of the listener. The watch logged "watch failed", kept its revision, read the same changes again and failed again without end; changes behind the malformed one were never applied.

Change: each change is applied by itself; one that fails is logged with key and revision.

--- a/router/src/main/java/org/magnoliaseam/platform/PlatformFeed.java
+++ b/router/src/main/java/org/magnoliaseam/platform/PlatformFeed.java
@@ -158,12 +158,25 @@
     }
 
     /**
-     * Applies a change of any key; other keys are ignored.
+     * Applies a change. One that cannot be applied does not keep the others from being applied.
      *
      * @param item the item or its removal
      */
     private void apply(StoreItem item) {
+        try {
+            applyItem(item);
+        } catch (RuntimeException e) {
+            LOG.error("store: change refused, key={} revision={}", item.key(), item.revision(), e);
+        }
         mPublished.applied(item.revision());
+    }
+
+    /**
+     * Applies a change of any key; other keys are ignored.
+     *
+     * @param item the item or its removal
+     */
+    private void applyItem(StoreItem item) {
         if (item.key().startsWith(SERVER_PREFIX)) {
             applyServerItem(item);
         } else {
--- a/router/src/test/java/org/magnoliaseam/platform/PlatformFeedTest.java
+++ b/router/src/test/java/org/magnoliaseam/platform/PlatformFeedTest.java
@@ -61,6 +61,9 @@
 
     private PlatformFeed mFeed;
 
+    /** Items that are listed and returned with each change, each followed by a comma. */
+    private volatile String mMoreItems = "";
+
     private volatile boolean mSilent;
 
     /** Whether calls that are open get no response while later ones do. */
@@ -121,7 +124,8 @@
 
     private void range(HttpExchange exchange) throws IOException {
         String items =
-                item("op/config", CONFIGURATION.formatted(mVersion), 10 + mVersion)
+                mMoreItems
+                        + item("op/config", CONFIGURATION.formatted(mVersion), 10 + mVersion)
                         + ","
                         + item("servers/i-1", SERVER, 5)
                         + ","
@@ -150,7 +154,7 @@
         answer(
                 exchange,
                 "{\"events\":[%s],\"store_revision\":%d}"
-                        .formatted(changed ? event : "", 10 + mVersion));
+                        .formatted(changed ? mMoreItems + event : "", 10 + mVersion));
     }
 
     private static void answer(HttpExchange exchange, String body) throws IOException {
@@ -190,6 +194,19 @@
         }
     }
 
+    /** Tests items that cannot be used. */
+    @Nested
+    class Unusable {
+        @Test
+        void changesBesideAMalformedFailureDomainAreApplied() {
+            mMoreItems = item("op/evacuate/no domain", "", 11) + ",";
+            mVersion = 2;
+            await().atMost(Duration.ofSeconds(1)).until(() -> version() == 2);
+            mVersion = 3;
+            await().atMost(Duration.ofSeconds(1)).until(() -> version() == 3);
+        }
+    }
+
     /** Tests a store that is silent for some time. */
     @Nested
     class Silent {
