Read all items of the store as of one revision

Callers would see: a backend server whose entry is "ready" for a moment after it had been read as "draining", or one that was removed and is back until the watch catches up.

Items of a later page may be newer than the first page's revision, from which the watch went on, so that it repeated older changes of these keys on top of their newer state.

Change: a read of several pages ends with the changes since the first page, merged by key and revision, and is delivered as a whole.

--- a/router/src/main/java/org/magnoliaseam/platform/StoreClient.java
+++ b/router/src/main/java/org/magnoliaseam/platform/StoreClient.java
@@ -44,13 +44,12 @@
     }
 
     /**
-     * Reads all items. They may change between the pages, so changes have to be read from the
-     * revision of the first page on.
+     * Reads all items. If there are several pages, the changes that were made while they were read
+     * are applied, so that the result is the state at one revision.
      *
      * @param prefix the prefix of the keys
      * @param limitMillis the time limit for each page in milliseconds
-     * @return the items, at the revision of the first page; fails with {@link StoreException} if
-     *     the store returned no usable page
+     * @return the items; fails with {@link StoreException} if the store returned no usable page
      */
     CompletableFuture<StorePage> readAll(String prefix, long limitMillis) {
         return page(prefix, "", limitMillis)
@@ -62,19 +61,18 @@
     }
 
     /**
-     * Reads the pages after the first one.
+     * Reads the pages after the first one, and the changes that were made meanwhile.
      *
      * @param prefix the prefix of the keys
      * @param first the first page
      * @param read the items read so far
      * @param limitMillis the time limit for each page in milliseconds
-     * @return the items of all pages, at the revision of the first one
+     * @return the items at one revision
      */
     private CompletableFuture<StorePage> readOn(
             String prefix, StorePage first, StorePage read, long limitMillis) {
         if (!read.more() || read.items().isEmpty()) {
-            return CompletableFuture.completedFuture(
-                    new StorePage(read.items(), false, first.revision()));
+            return watch(prefix, first.revision(), 0, limitMillis).thenApply(read::with);
         }
         String last = read.items().get(read.items().size() - 1).key();
         return page(prefix, last, limitMillis)
--- a/router/src/main/java/org/magnoliaseam/platform/StorePage.java
+++ b/router/src/main/java/org/magnoliaseam/platform/StorePage.java
@@ -1,7 +1,9 @@
 package org.magnoliaseam.platform;
 
 import java.util.ArrayList;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 
 /**
  * Holds one page of items or changes of the metadata store.
@@ -23,4 +25,23 @@
         joined.addAll(next.items());
         return new StorePage(joined, next.more() && !next.items().isEmpty(), next.revision());
     }
+
+    /**
+     * Applies changes. An item that is newer than a change of its key keeps its value.
+     *
+     * @param changes the changes in order
+     * @return the items that exist after the changes, at the revision of the changes
+     */
+    StorePage with(StorePage changes) {
+        Map<String, StoreItem> newest = new LinkedHashMap<>();
+        items.forEach(item -> newest.put(item.key(), item));
+        for (StoreItem change : changes.items()) {
+            newest.merge(
+                    change.key(),
+                    change,
+                    (known, changed) -> changed.revision() > known.revision() ? changed : known);
+        }
+        newest.values().removeIf(StoreItem::removed);
+        return new StorePage(List.copyOf(newest.values()), false, changes.revision());
+    }
 }
