Refuse a state of the store that is older than one seen before

Callers would see: backend servers, accounts and failure domains as they were earlier, if the store shows an older state after it lost its history.

Cause: after status 410 all items were read again and applied whatever their revision was. Only the catalog's version was compared.

Change: an answer whose revision is below the newest one seen counts as a failed call; the last state stays in use and calls go on at intervals.

Evidence: PlatformFeedTest.Older red before (the only backend server was removed), green after.

--- a/router/src/main/java/org/magnoliaseam/platform/StoreWatch.java
+++ b/router/src/main/java/org/magnoliaseam/platform/StoreWatch.java
@@ -59,6 +59,9 @@
     /** The revision up to which changes are known. */
     private long mRevision = UNREAD;
 
+    /** The newest revision of any answer, which a full read must not fall behind. */
+    private long mNewest = UNREAD;
+
     /** The number of consecutive failed calls. */
     private int mFailures;
 
@@ -203,7 +206,9 @@
         if (!mOpen.remove(call)) {
             return;
         }
-        if (failure == null) {
+        if (failure == null && page.revision() < mNewest) {
+            failed(call, new StoreException("older state, revision " + page.revision(), 0));
+        } else if (failure == null) {
             answered(call, page);
         } else if (cause(failure) instanceof StoreException store && store.status() == GONE) {
             LOG.info("store: history no longer available, reading all items, prefix={}", mPrefix);
@@ -232,7 +237,8 @@
         } else if (changed) {
             mListener.changed(page.items());
         }
-        mRevision = Math.max(mRevision, page.revision());
+        mRevision = page.revision();
+        mNewest = mRevision;
         mListener.upToDate();
     }
 
--- a/router/src/test/java/org/magnoliaseam/platform/PlatformFeedTest.java
+++ b/router/src/test/java/org/magnoliaseam/platform/PlatformFeedTest.java
@@ -64,6 +64,9 @@
     /** Items that are listed and returned with each change, each followed by a comma. */
     private volatile String mMoreItems = "";
 
+    /** Whether the store has lost its history and shows the state of revision 3. */
+    private volatile boolean mOlder;
+
     private volatile boolean mSilent;
 
     /** Whether calls that are open get no response while later ones do. */
@@ -123,6 +126,10 @@
     }
 
     private void range(HttpExchange exchange) throws IOException {
+        if (mOlder) {
+            answer(exchange, "{\"items\":[],\"store_revision\":3}");
+            return;
+        }
         String items =
                 mMoreItems
                         + item("op/config", CONFIGURATION.formatted(mVersion), 10 + mVersion)
@@ -135,6 +142,11 @@
 
     private void watch(HttpExchange exchange) throws IOException {
         mWatches.incrementAndGet();
+        if (mOlder) {
+            exchange.sendResponseHeaders(410, -1);
+            exchange.close();
+            return;
+        }
         String query = exchange.getRequestURI().getQuery();
         long after = Long.parseLong(query.replaceAll(".*after=(\\d+).*", "$1"));
         long wait = Long.parseLong(query.replaceAll(".*wait_ms=(\\d+).*", "$1"));
@@ -194,6 +206,22 @@
         }
     }
 
+    /** Tests a store that shows an older state than before. */
+    @Nested
+    class Older {
+        @Test
+        void olderStateIsNotApplied() throws InterruptedException {
+            mOlder = true;
+            int before = mWatches.get();
+            await().atMost(Duration.ofSeconds(10)).until(() -> mWatches.get() > before);
+            TimeUnit.MILLISECONDS.sleep(500);
+            assertThat(mPool.size()).isEqualTo(1);
+            mVersion = 2;
+            mOlder = false;
+            await().atMost(CONTACT_LIMIT).until(() -> version() == 2);
+        }
+    }
+
     /** Tests items that cannot be used. */
     @Nested
     class Unusable {
