Test starts during an outage, and the calls of 350 entry VMs together

A feed that starts while the store is silent or busy had no test, nor had the sum of calls.

Ruled out: code; nothing was found that had to change.

--- a/router/src/test/java/org/magnoliaseam/platform/StoreOutageTest.java
+++ b/router/src/test/java/org/magnoliaseam/platform/StoreOutageTest.java
@@ -64,15 +64,23 @@
         private final FaultyStore mStore;
         private final FaultyStore.Fault mFault;
         private final long mEndMillis;
+
+        /** Whether the store fails before the feed starts. */
+        private final boolean mFailsAtOnce;
+
         private final CurrentCatalog mCatalog = new CurrentCatalog(CONTACT_LIMIT, System::nanoTime);
         private final PlatformFeed mFeed;
         private long mAppliedMillis = -1;
         private boolean mEnded;
 
-        Trial(FaultyStore.Fault fault, long endMillis) throws Exception {
+        Trial(FaultyStore.Fault fault, long endMillis, boolean failsAtOnce) throws Exception {
             mFault = fault;
             mEndMillis = endMillis;
+            mFailsAtOnce = failsAtOnce;
             mStore = new FaultyStore(mThreads);
+            if (failsAtOnce) {
+                mStore.fail(fault);
+            }
             ServerPool pool =
                     new ServerPool(
                             new FailureDomain("domain-1"),
@@ -138,14 +146,26 @@
 
     private void add(FaultyStore.Fault fault, long firstEndMillis, long cycleMillis)
             throws Exception {
+        add(fault, firstEndMillis, cycleMillis, false);
+    }
+
+    private void add(
+            FaultyStore.Fault fault, long firstEndMillis, long cycleMillis, boolean failsAtOnce)
+            throws Exception {
         for (long offset = 0; offset < cycleMillis; offset += STEP_MILLIS) {
-            mTrials.add(new Trial(fault, firstEndMillis + offset));
+            mTrials.add(new Trial(fault, firstEndMillis + offset, failsAtOnce));
         }
     }
 
     private void play() throws InterruptedException {
         await().atMost(Duration.ofSeconds(10))
-                .until(() -> mTrials.stream().allMatch(trial -> trial.version() == 1));
+                .until(
+                        () ->
+                                mTrials.stream()
+                                        .allMatch(
+                                                trial ->
+                                                        trial.mFailsAtOnce
+                                                                || trial.version() == 1));
         long start = System.nanoTime();
         boolean failing = false;
         long lastEnd = mTrials.stream().mapToLong(trial -> trial.mEndMillis).max().orElse(0);
@@ -154,7 +174,9 @@
             now = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - start);
             if (!failing && now >= CALM_MILLIS) {
                 failing = true;
-                mTrials.forEach(trial -> trial.mStore.fail(trial.mFault));
+                mTrials.stream()
+                        .filter(trial -> !trial.mFailsAtOnce)
+                        .forEach(trial -> trial.mStore.fail(trial.mFault));
             }
             for (Trial trial : mTrials) {
                 trial.step(now);
@@ -190,6 +212,14 @@
         assertInForceInTime();
     }
 
+    @Test
+    void configurationIsInForceInTimeIfTheFeedStartsDuringTheOutage() throws Exception {
+        add(FaultyStore.Fault.SILENT, CALM_MILLIS + 2000, 1200, true);
+        add(FaultyStore.Fault.BUSY, CALM_MILLIS + 2000, 1200, true);
+        play();
+        assertInForceInTime();
+    }
+
     @Test
     void configurationIsInForceInTimeWhenOpenConnectionsFallSilent() throws Exception {
         add(FaultyStore.Fault.STALLED, CALM_MILLIS + STEP_MILLIS, 2600);
--- a/router/src/test/java/org/magnoliaseam/rollout/ContactScheduleTest.java
+++ b/router/src/test/java/org/magnoliaseam/rollout/ContactScheduleTest.java
@@ -4,6 +4,7 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Random;
 import java.util.concurrent.TimeUnit;
@@ -152,6 +153,25 @@
         }
     }
 
+    /** Tests the calls of many entry VMs together. */
+    @Nested
+    class Fleet {
+        private static final int VMS = 350;
+
+        private static final int STORE_CALLS_PER_SECOND = 2000;
+
+        @Test
+        void callsDuringAnOutageStayBelowTheRateOfTheStore() {
+            int[] calls = new int[12];
+            for (int vm = 0; vm < VMS; vm++) {
+                Player player = new Player(refusing(10_000), vm);
+                player.play(12_000);
+                player.mCalls.forEach(call -> calls[(int) (call / 1000)]++);
+            }
+            assertThat(Arrays.stream(calls).max().orElseThrow()).isLessThan(STORE_CALLS_PER_SECOND);
+        }
+    }
+
     /** Tests connections that fall silent while new ones are answered. */
     @Nested
     class SilentConnection {
