Split what attempts record about servers from the server pool

Change: ServerFeedback, one for each attempt, takes over what attempts record about their backend server, under the lock of the pool. Behaviour as before; the calls of tests follow.

Ruled out: a lock of its own, since choice and feedback use the same state.

--- a/router/src/main/java/org/magnoliaseam/gateway/GatewayAttempt.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/GatewayAttempt.java
@@ -40,6 +40,9 @@
     /** The selected backend server and the state at the selection. */
     private final ServerChoice.Start mStart;
 
+    /** Records what the attempt shows about its backend server. */
+    private final ServerFeedback mFeedback;
+
     /** The components that the request uses. */
     private final GatewayParts mParts;
 
@@ -92,6 +95,7 @@
         mStart = start;
         mParts = parts;
         mOrder = order;
+        mFeedback = parts.pool().feedback(start, order.request());
         mPermit = parts.permits().nextId();
         mProgressNanos = parts.clock().nanos();
     }
@@ -121,14 +125,14 @@
      */
     private void permitAnswered(PermitOutcome outcome) {
         if (outcome instanceof PermitOutcome.Busy busy) {
-            mParts.pool().permitRefused(server(), busy.waitingTokens());
+            mFeedback.permitRefused(busy.waitingTokens());
             undo();
             mCall.busy(this);
         } else {
             if (outcome instanceof PermitOutcome.Granted granted) {
                 mIdle = granted.waitingTokens() == 0;
                 long tokens = granted.waitingTokens() + mStart.uncachedTokens();
-                mParts.pool().permitGranted(server(), tokens);
+                mFeedback.permitGranted(tokens);
             }
             proceed();
         }
@@ -138,7 +142,7 @@
     /** Sends the request unless the call has ended meanwhile. */
     private void proceed() {
         if (mCall.permitted(this)) {
-            mParts.pool().sent(mStart, mOrder.request());
+            mFeedback.sent();
             send();
         } else {
             undo();
@@ -148,7 +152,7 @@
     /** Ends the attempt before it was sent. */
     private void undo() {
         if (markEnded()) {
-            mParts.pool().ended(server());
+            mFeedback.ended();
         }
     }
 
@@ -237,7 +241,7 @@
 
     @Override
     public void load(ReportedLoad load) {
-        mParts.pool().load(server(), load);
+        mFeedback.load(load);
     }
 
     @Override
@@ -278,9 +282,9 @@
             return;
         }
         if (mHead.status() >= 500) {
-            mParts.pool().failed(server(), mOrder.request().service(), BackendFailure.SERVER_ERROR);
+            mFeedback.failed(BackendFailure.SERVER_ERROR);
         } else {
-            mParts.pool().succeeded(server());
+            mFeedback.succeeded();
         }
         mParts.waiting().drain();
         if (mStreamed) {
@@ -297,9 +301,9 @@
         }
         boolean cancelledHere = mGivenUp && failure == BackendFailure.INCOMPLETE;
         if (cancelledHere && !silent(mParts.clock().nanos())) {
-            mParts.pool().ended(server());
+            mFeedback.ended();
         } else {
-            mParts.pool().failed(server(), mOrder.request().service(), failure);
+            mFeedback.failed(failure);
         }
         mCall.failed(this, failure, detail);
         mParts.waiting().drain();
@@ -328,7 +332,7 @@
             mPromptProcessed = true;
             double millis =
                     mIdle && mStart.measurable() ? (now - mProgressNanos) / NANOS_PER_MILLI : 0;
-            mParts.pool().promptProcessed(server(), mStart.uncachedTokens(), millis);
+            mFeedback.promptProcessed(millis);
             mParts.permits().done(claim());
             mParts.waiting().drain();
         } else {
@@ -348,7 +352,7 @@
         }
         mEnded = true;
         if (!mPromptProcessed) {
-            mParts.pool().promptProcessed(server(), mStart.uncachedTokens(), 0);
+            mFeedback.promptProcessed(0);
             mParts.permits().done(claim());
         }
         return true;
--- /dev/null
+++ b/router/src/main/java/org/magnoliaseam/gateway/ServerFeedback.java
@@ -0,0 +1,154 @@
+package org.magnoliaseam.gateway;
+
+import org.magnoliaseam.backend.BackendFailure;
+import org.magnoliaseam.time.MonotonicClock;
+
+/**
+ * Records what one attempt shows about its backend server. Thread-safe; guarded by the lock of the
+ * server pool.
+ */
+final class ServerFeedback {
+
+    /** The server pool, whose lock guards the backend servers. */
+    private final ServerPool mPool;
+
+    /** Learns the demand of requests. */
+    private final ServerSelector mSelector;
+
+    /** The prompt parts to report to the other entry VMs. */
+    private final RecentPromptParts mRecentParts;
+
+    /** The selected backend server. */
+    private final ServerChoice.Start mStart;
+
+    /** The request. */
+    private final GatewayRequest mRequest;
+
+    /** The clock. */
+    private final MonotonicClock mClock;
+
+    /**
+     * Creates a recorder for an attempt that the server pool has counted.
+     *
+     * @param pool the server pool
+     * @param selector learns the demand of requests
+     * @param recentParts the prompt parts to report to the other entry VMs
+     * @param start the selected backend server
+     * @param request the request
+     * @param clock the clock
+     */
+    ServerFeedback(
+            ServerPool pool,
+            ServerSelector selector,
+            RecentPromptParts recentParts,
+            ServerChoice.Start start,
+            GatewayRequest request,
+            MonotonicClock clock) {
+        mPool = pool;
+        mSelector = selector;
+        mRecentParts = recentParts;
+        mStart = start;
+        mRequest = request;
+        mClock = clock;
+    }
+
+    /**
+     * Records that the home of the engine granted a permit.
+     *
+     * @param tokens the prompt tokens that wait there, with those of the permit
+     */
+    void permitGranted(long tokens) {
+        synchronized (mPool) {
+            server().backlog().granted(tokens, mClock.nanos());
+        }
+    }
+
+    /**
+     * Records that the home of the engine refused a permit.
+     *
+     * @param tokens the prompt tokens that wait there
+     */
+    void permitRefused(long tokens) {
+        synchronized (mPool) {
+            server().backlog().refused(tokens, mClock.nanos());
+        }
+    }
+
+    /** Records that the attempt is sent. */
+    void sent() {
+        synchronized (mPool) {
+            server().sent(mRequest);
+            mSelector.started(mRequest, mStart.uncachedTokens(), mClock.nanos());
+            mRecentParts.sent(server().id(), mRequest.prompt());
+        }
+    }
+
+    /**
+     * Records that the prompt has been processed, or that the attempt ended before.
+     *
+     * @param millis the time to the first event in milliseconds; 0 if it does not measure the
+     *     processing speed
+     */
+    void promptProcessed(double millis) {
+        synchronized (mPool) {
+            server().promptProcessed(mStart.uncachedTokens());
+            if (millis > 0) {
+                server().promptTime().measured(mStart.uncachedTokens(), millis);
+            }
+        }
+    }
+
+    /**
+     * Records the load that the backend server reports.
+     *
+     * @param load the load
+     */
+    void load(ReportedLoad load) {
+        synchronized (mPool) {
+            server().load(load, mClock.nanos());
+        }
+    }
+
+    /** Counts a successful attempt. */
+    void succeeded() {
+        synchronized (mPool) {
+            server().end();
+            server().failures().succeeded();
+        }
+    }
+
+    /** Counts an attempt whose end does not indicate success or failure of the backend server. */
+    void ended() {
+        synchronized (mPool) {
+            server().end();
+        }
+    }
+
+    /**
+     * Counts a failed attempt.
+     *
+     * @param failure the kind of failure
+     */
+    void failed(BackendFailure failure) {
+        synchronized (mPool) {
+            long now = mClock.nanos();
+            server().end();
+            if (failure == BackendFailure.HELD_BACK) {
+                return;
+            }
+            server().failures().failed(failure == BackendFailure.NOT_SENT, now);
+            if (failure == BackendFailure.NOT_SENT || failure.mayBeCrash()) {
+                server().coldFor(mRequest.service().coldMillis(), now);
+            }
+        }
+    }
+
+    /**
+     * Returns the backend server.
+     *
+     * @return the backend server
+     */
+    private BackendServerState server() {
+        return mStart.server();
+    }
+}
--- a/router/src/main/java/org/magnoliaseam/gateway/ServerPool.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/ServerPool.java
@@ -6,8 +6,6 @@
 import java.util.function.Supplier;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
-import org.magnoliaseam.backend.BackendFailure;
-import org.magnoliaseam.catalog.Service;
 import org.magnoliaseam.error.ErrorKind;
 import org.magnoliaseam.gossip.Demand;
 import org.magnoliaseam.gossip.Digest;
@@ -190,6 +188,17 @@
         return new ServerChoice.Start(chosen, tokens, limits, measurable, reason);
     }
 
+    /**
+     * Returns the recorder for an attempt.
+     *
+     * @param start the selected backend server
+     * @param request the request
+     * @return the recorder
+     */
+    ServerFeedback feedback(ServerChoice.Start start, GatewayRequest request) {
+        return new ServerFeedback(this, mSelector, mRecentParts, start, request, mClock);
+    }
+
     /**
      * Selects the backend servers that may run a request now. Ejected ones are used only if there
      * is no other.
@@ -221,26 +230,6 @@
         return anyHealthy ? healthy : ejected;
     }
 
-    /**
-     * Records that the home of an engine granted a permit.
-     *
-     * @param server the engine
-     * @param tokens the prompt tokens that wait there, with those of the permit
-     */
-    synchronized void permitGranted(BackendServerState server, long tokens) {
-        server.backlog().granted(tokens, mClock.nanos());
-    }
-
-    /**
-     * Records that the home of an engine refused a permit.
-     *
-     * @param server the engine
-     * @param tokens the prompt tokens that wait there
-     */
-    synchronized void permitRefused(BackendServerState server, long tokens) {
-        server.backlog().refused(tokens, mClock.nanos());
-    }
-
     /**
      * Returns the entry VMs that share limits.
      *
@@ -261,18 +250,6 @@
                 request, mServers.inService(request.service().name()));
     }
 
-    /**
-     * Records that an attempt is sent.
-     *
-     * @param start the selected backend server
-     * @param request the request
-     */
-    synchronized void sent(ServerChoice.Start start, GatewayRequest request) {
-        start.server().sent(request);
-        mSelector.started(request, start.uncachedTokens(), mClock.nanos());
-        mRecentParts.sent(start.server().id(), request.prompt());
-    }
-
     /**
      * Tells whether a backend server may still get a request; called right before the first byte is
      * sent.
@@ -285,69 +262,6 @@
         return state != null && mServers.isInService(state, order.request().service().name());
     }
 
-    /**
-     * Records that the prompt of an attempt has been processed, or that the attempt ended before.
-     *
-     * @param server the backend server
-     * @param tokens the prompt tokens that it had to process
-     * @param millis the time to the first event in milliseconds; 0 if it does not measure the
-     *     processing speed
-     */
-    synchronized void promptProcessed(BackendServerState server, long tokens, double millis) {
-        server.promptProcessed(tokens);
-        if (millis > 0) {
-            server.promptTime().measured(tokens, millis);
-        }
-    }
-
-    /**
-     * Records the load that a backend server reports.
-     *
-     * @param server the backend server
-     * @param load the load
-     */
-    synchronized void load(BackendServerState server, ReportedLoad load) {
-        server.load(load, mClock.nanos());
-    }
-
-    /**
-     * Counts a successful attempt.
-     *
-     * @param server the backend server
-     */
-    synchronized void succeeded(BackendServerState server) {
-        server.end();
-        server.failures().succeeded();
-    }
-
-    /**
-     * Counts an attempt whose end does not indicate success or failure of the backend server.
-     *
-     * @param server the backend server
-     */
-    synchronized void ended(BackendServerState server) {
-        server.end();
-    }
-
-    /**
-     * Counts a failed attempt.
-     *
-     * @param server the backend server
-     * @param service its service
-     * @param failure the kind of failure
-     */
-    synchronized void failed(BackendServerState server, Service service, BackendFailure failure) {
-        long now = mClock.nanos();
-        server.end();
-        if (failure == BackendFailure.HELD_BACK) {
-            return;
-        }
-        server.failures().failed(failure == BackendFailure.NOT_SENT, now);
-        if (failure == BackendFailure.NOT_SENT || failure.mayBeCrash()) {
-            server.coldFor(service.coldMillis(), now);
-        }
-    }
-
     /**
      * Counts the first attempt of a request.
      *
--- a/router/src/test/java/org/magnoliaseam/gateway/ServerSelectorTest.java
+++ b/router/src/test/java/org/magnoliaseam/gateway/ServerSelectorTest.java
@@ -233,7 +233,7 @@
             ServerChoice.Start start = (ServerChoice.Start) pool.choose(request, Set.of(), true);
             pool.publishedServers().withdraw(new BackendServerId("desk"));
             pool.publishedServers().add(server("desk", DESK, false));
-            pool.failed(start.server(), request.service(), BackendFailure.REFUSED);
+            pool.feedback(start, request).failed(BackendFailure.REFUSED);
             assertThat(pool.loads()).isEmpty();
         }
     }
@@ -262,7 +262,7 @@
             ServerChoice choice = mPool.choose(longPrompt, Set.of(), false);
             int refused = 0;
             while (choice instanceof ServerChoice.Start start) {
-                mPool.permitRefused(start.server(), 1_000_000);
+                mPool.feedback(start, longPrompt).permitRefused(1_000_000);
                 refused++;
                 choice = mPool.choose(longPrompt, Set.of(), false);
             }
@@ -274,7 +274,7 @@
         void requestWaitsForTheEngineThatCachesItsPromptBeforeItLeavesIt() {
             GatewayRequest request = stream("part", 200, 500);
             ServerChoice.Start first = start(request);
-            mPool.permitRefused(first.server(), 100);
+            mPool.feedback(first, request).permitRefused(100);
             assertThat(mPool.choose(request, Set.of(), true))
                     .isEqualTo(new ServerChoice.Wait(ErrorKind.OVERLOADED, true));
             ServerChoice.Start other = (ServerChoice.Start) mPool.choose(request, Set.of(), false);
