Start all waiting requests that have room in one pass

Callers saw: requests of plain services that waited up to 20 ms each for places that were free, one start a tick, whenever several places became free at once (a server that returns, a raised slot count). Found while testing how requests return to a server that had pushed back.

Cause: the result of a start was read inside the decision. The attempt starts after it, so a request that had just been placed still counted as waiting without room, and the pass ended there.

Change: the result is read after the attempt has started. A request whose permit is still under way counts as before.

Evidence: GatewayCallTest.Waiting, four places that become free at once: one start before, four after. The other tests of the package are green.

--- a/router/src/main/java/org/magnoliaseam/gateway/GatewayCall.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/GatewayCall.java
@@ -95,13 +95,11 @@
      * @return whether it still waits, and why
      */
     WaitingCalls.Attempted tryStart() {
-        AtomicReference<WaitingCalls.Attempted> result = new AtomicReference<>();
-        mActions.decide(
-                () -> {
-                    refuseUnless(mPlacement.placeIfWaiting());
-                    result.set(mPlacement.attempted());
-                });
-        return result.get();
+        mActions.decide(() -> refuseUnless(mPlacement.placeIfWaiting()));
+        // The attempt starts after the decision, so the result is known only now.
+        synchronized (mActions) {
+            return mPlacement.attempted();
+        }
     }
 
     /**
--- a/router/src/test/java/org/magnoliaseam/gateway/GatewayCallTest.java
+++ b/router/src/test/java/org/magnoliaseam/gateway/GatewayCallTest.java
@@ -10,6 +10,7 @@
 import static org.magnoliaseam.gateway.GatewayFixtures.server;
 
 import com.codahale.metrics.MetricRegistry;
+import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
@@ -26,15 +27,21 @@
 import org.magnoliaseam.backend.BackendFailure;
 import org.magnoliaseam.catalog.RequestKind;
 import org.magnoliaseam.catalog.Route;
+import org.magnoliaseam.catalog.ServerEntry;
+import org.magnoliaseam.catalog.WeightedService;
 import org.magnoliaseam.error.ErrorKind;
 import org.magnoliaseam.error.Executed;
 import org.magnoliaseam.exchange.AnswerHead;
 import org.magnoliaseam.exchange.Cancellation;
+import org.magnoliaseam.model.BackendServerId;
 import org.magnoliaseam.model.FailureDomain;
+import org.magnoliaseam.model.ServiceName;
 
 /** Tests how requests handle failed attempts, with a backend client that fails on demand. */
 class GatewayCallTest {
 
+    private static final ServiceName SMALL = new ServiceName("small");
+
     private final AtomicLong mNow = new AtomicLong(1);
 
     private final RecordingBackend mBackend = new RecordingBackend();
@@ -120,6 +127,51 @@
         }
     }
 
+    /** Tests requests that wait for a free slot. */
+    @Nested
+    class Waiting {
+        private void publishDesk(int slots) {
+            mPool.publishedServers()
+                    .add(
+                            new ServerEntry(
+                                    new BackendServerId("small"),
+                                    SMALL,
+                                    InetSocketAddress.createUnresolved("127.0.0.1", 1),
+                                    OWN_DOMAIN,
+                                    slots,
+                                    false,
+                                    0,
+                                    1));
+        }
+
+        @Test
+        void allSlotsThatBecomeFreeAtOnceAreUsedAtOnce() {
+            publishDesk(1);
+            Route route =
+                    new Route(
+                            "small",
+                            "host.example",
+                            "/p/",
+                            RequestKind.ONCE,
+                            List.of(new WeightedService(SMALL, 1)),
+                            1,
+                            5000,
+                            5000,
+                            500,
+                            0,
+                            1,
+                            false,
+                            false);
+            for (int i = 0; i < 6; i++) {
+                mGateway.submit(request("r" + i, route, Prompt.NONE), new RecordingSink());
+            }
+            assertThat(mBackend.mOrders).hasSize(1);
+            publishDesk(5);
+            mGateway.tick();
+            assertThat(mBackend.mOrders).hasSize(5);
+        }
+    }
+
     /** Tests requests that may run at most once. */
     @Nested
     class RunOnce {
