Send nothing to a backend server for the time that its 503 asks for

A refusal with Retry-After counted as a fault like any other, excluded the server for that request for good and let all other requests go there.

Change: RetryDelay reads the field (seconds, fractions; each faulty value has a stated meaning, one log line for each start of a server and kind of fault, 300 s at most). ServerPushback holds the time, plus a random part of up to a tenth of it. Until the end, choice and the check right before the first byte pass the server over. A request waits if the earliest end of all servers lies within its deadline, else it is refused with that end plus a spread as the time to come back. After the end one request may be unanswered, then two, four and so on with each answer. The failure history does not count such a refusal; a server that pushes back for 0.8 of half a minute is told in the log. An attempt that is held back before its first byte no longer costs a retry. The account of a request has a step for the begin of a wait, and both steps name how many servers push back.

Ruled out: to wait for the pushed back engine that caches the prompt while others have room: it has just said that it has none.

--- a/router/src/main/java/org/magnoliaseam/gateway/AttemptHistory.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/AttemptHistory.java
@@ -25,6 +25,11 @@
         mSends++;
     }
 
+    /** Counts an attempt as not sent, because it was held back before its first byte. */
+    void heldBack() {
+        mSends--;
+    }
+
     /** Counts an attempt that may have run. */
     void countPossibleRun() {
         mPossibleRuns++;
--- a/router/src/main/java/org/magnoliaseam/gateway/AttemptListener.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/AttemptListener.java
@@ -1,6 +1,7 @@
 package org.magnoliaseam.gateway;
 
 import org.magnoliaseam.backend.BackendListener;
+import org.magnoliaseam.pushback.NoticeFault;
 
 /** Receives the answer of one attempt and what the backend server states about itself with it. */
 public interface AttemptListener extends BackendListener {
@@ -12,6 +13,21 @@
      */
     void load(ReportedLoad load);
 
+    /**
+     * Receives the time for which the backend server wants no requests of this entry VM; called
+     * before {@link #head} and {@link #failed}.
+     *
+     * @param millis the time in milliseconds, above 0
+     */
+    void pushback(long millis);
+
+    /**
+     * Called when the answer has a header field about the backend server that cannot be used.
+     *
+     * @param fault what is wrong
+     */
+    void faultyNotice(NoticeFault fault);
+
     /** Called when the answer says that the backend server is leaving. */
     void leaving();
 }
--- a/router/src/main/java/org/magnoliaseam/gateway/BackendServerState.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/BackendServerState.java
@@ -1,11 +1,15 @@
 package org.magnoliaseam.gateway;
 
+import java.util.EnumSet;
+import java.util.Set;
 import org.magnoliaseam.catalog.EngineCapacity;
 import org.magnoliaseam.catalog.ServerEntry;
 import org.magnoliaseam.catalog.Service;
 import org.magnoliaseam.membership.StableHash;
 import org.magnoliaseam.model.BackendServerId;
 import org.magnoliaseam.placement.PromptTimeModel;
+import org.magnoliaseam.pushback.NoticeFault;
+import org.magnoliaseam.pushback.ServerPushback;
 
 /**
  * Holds the state of one backend server as seen by this entry VM. Guarded by the lock of the server
@@ -31,6 +35,12 @@
     /** The hash of the id, which places the backend server in an order that all entry VMs share. */
     private final long mHash;
 
+    /** The times for which it wants no requests. */
+    private final ServerPushback mPushback = new ServerPushback();
+
+    /** The faulty notices that were logged. */
+    private final Set<NoticeFault> mLoggedFaults = EnumSet.noneOf(NoticeFault.class);
+
     /** The published entry of the backend server. */
     private ServerEntry mEntry;
 
@@ -137,6 +147,25 @@
         return mFailures;
     }
 
+    /**
+     * Returns the times for which it wants no requests.
+     *
+     * @return the times
+     */
+    ServerPushback pushback() {
+        return mPushback;
+    }
+
+    /**
+     * Records that a faulty notice is logged.
+     *
+     * @param fault what is wrong
+     * @return true the first time
+     */
+    boolean logs(NoticeFault fault) {
+        return mLoggedFaults.add(fault);
+    }
+
     /**
      * Tells whether the rate limit of a cold start allows one more request.
      *
--- a/router/src/main/java/org/magnoliaseam/gateway/CallPlacement.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/CallPlacement.java
@@ -2,7 +2,7 @@
 
 import java.util.ArrayDeque;
 import java.util.Deque;
-import org.magnoliaseam.error.ErrorKind;
+import org.magnoliaseam.backend.BackendFailure;
 import org.magnoliaseam.permit.PermitMessage;
 
 /**
@@ -26,6 +26,9 @@
     /** The answer to the caller. */
     private final CallAnswer mAnswer;
 
+    /** Receives the steps of the request. */
+    private final RequestRecord mRecord;
+
     /** The attempts so far. */
     private final AttemptHistory mHistory = new AttemptHistory();
 
@@ -48,14 +51,20 @@
      * @param parts the components that the request uses
      * @param actions the lock of the request, and the actions to run after releasing it
      * @param answer the answer to the caller
+     * @param record receives the steps of the request
      */
     CallPlacement(
-            GatewayCall call, GatewayParts parts, DeferredActions actions, CallAnswer answer) {
+            GatewayCall call,
+            GatewayParts parts,
+            DeferredActions actions,
+            CallAnswer answer,
+            RequestRecord record) {
         mCall = call;
         mParts = parts;
         mActions = actions;
         mAnswer = answer;
-        mWait = new CallWait(call.request(), parts);
+        mRecord = record;
+        mWait = new CallWait(call.request(), parts, record);
     }
 
     /**
@@ -110,7 +119,7 @@
             return place();
         }
         mActions.add(mParts.waiting()::drain);
-        return mWait.await(mCall, ErrorKind.OVERLOADED, false);
+        return mWait.await(mCall, mParts.pool().noRoom(mCall.request()));
     }
 
     /**
@@ -122,7 +131,7 @@
         ServerChoice choice =
                 mParts.pool().choose(mCall.request(), mHistory.excluded(), mWait.isPatient());
         if (choice instanceof ServerChoice.Wait wait) {
-            return mWait.await(mCall, wait.kind(), wait.selective());
+            return mWait.await(mCall, wait);
         }
         ServerChoice.Start start = (ServerChoice.Start) choice;
         TryOrder order =
@@ -183,23 +192,37 @@
         mAttempt = null;
         mBusyEngines++;
         return mBusyEngines % MAX_BUSY_ENGINES == 0
-                ? mWait.await(mCall, ErrorKind.OVERLOADED, false)
+                ? mWait.await(mCall, mParts.pool().noRoom(mCall.request()))
                 : place();
     }
 
+    /**
+     * Tells whether the request may be repeated after a failed attempt. An attempt that was held
+     * back before its first byte costs no retry.
+     *
+     * @param failure why the attempt failed
+     * @return true if it may
+     */
+    boolean mayRepeat(BackendFailure failure) {
+        if (failure == BackendFailure.HELD_BACK) {
+            mHistory.heldBack();
+            return true;
+        }
+        return mayRetry();
+    }
+
     /**
      * Takes one retry from the retry budget if the route allows another attempt.
      *
-     * @param record gets a step if the budget is used up
      * @return true if the request may be sent again
      */
-    boolean mayRetry(RequestRecord record) {
+    boolean mayRetry() {
         if (!mHistory.allowsAnother(mCall.request().route())) {
             return false;
         }
         boolean allowed = mParts.pool().tryRetry(mCall.request());
         if (!allowed) {
-            record.add(StepKind.BUDGET_USED_UP, "", "", mParts.clock().nanos());
+            mRecord.add(StepKind.BUDGET_USED_UP, "", "", mParts.clock().nanos());
         }
         return allowed;
     }
--- a/router/src/main/java/org/magnoliaseam/gateway/CallWait.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/CallWait.java
@@ -39,6 +39,9 @@
     /** The components that the request uses. */
     private final GatewayParts mParts;
 
+    /** Receives a step when the request begins to wait. */
+    private final RequestRecord mRecord;
+
     /** Whether the request waits. */
     private boolean mWaiting;
 
@@ -48,6 +51,9 @@
     /** The local monotonic time at which the caller gives up without a further event. */
     private long mDeadlineNanos;
 
+    /** The local monotonic time before which no backend server takes the request. */
+    private long mNotBeforeNanos;
+
     /** Whether the request waits for one engine while others have room. */
     private boolean mSelective;
 
@@ -62,12 +68,15 @@
      *
      * @param request the request
      * @param parts the components that the request uses
+     * @param record receives a step when the request begins to wait
      */
-    CallWait(GatewayRequest request, GatewayParts parts) {
+    CallWait(GatewayRequest request, GatewayParts parts, RequestRecord record) {
+        mRecord = record;
         mRequest = request;
         mParts = parts;
         mSinceNanos = request.arrivedNanos();
         mDeadlineNanos = request.firstEventDeadlineNanos();
+        mNotBeforeNanos = mSinceNanos;
     }
 
     /**
@@ -95,25 +104,43 @@
      * Begins or continues to wait.
      *
      * @param call the request
-     * @param kind the error kind if it is refused later
-     * @param selective whether it waits for one engine while others have room
+     * @param wait why it has to wait
      * @return true if it waits; false if it has to be refused now
      */
-    boolean await(GatewayCall call, ErrorKind kind, boolean selective) {
-        mKind = kind;
-        mSelective = selective;
+    boolean await(GatewayCall call, ServerChoice.Wait wait) {
+        mKind = wait.kind();
+        mSelective = wait.selective();
+        mNotBeforeNanos = wait.notBeforeNanos();
         if (mWaiting) {
-            return selective || !expired();
+            return mSelective || !expired();
         }
         mServiceMillis = mParts.pool().fastestAnswerMillis(mRequest);
-        if (!selective && isHopeless(mParts.waiting().forecastMillis(mRequest))) {
+        if (!mSelective && isHopeless(mParts.waiting().forecastMillis(mRequest))) {
             return false;
         }
         mWaiting = true;
-        mParts.waiting().add(call, selective);
+        mRecord.add(StepKind.WAITING, "", describe(wait), mParts.clock().nanos());
+        mParts.waiting().add(call, mSelective);
         return true;
     }
 
+    /**
+     * Describes why the request waits.
+     *
+     * @param wait the decision
+     * @return the inputs of the decision
+     */
+    private String describe(ServerChoice.Wait wait) {
+        return wait.kind().text()
+                + (wait.selective() ? " for=cache" : "")
+                + (wait.pushedBack() > 0
+                        ? " pushed_back="
+                                + wait.pushedBack()
+                                + " not_before_ms="
+                                + Math.round(millisUntil(wait.notBeforeNanos()))
+                        : "");
+    }
+
     /** Ends the wait. */
     void end() {
         mWaiting = false;
@@ -183,7 +210,8 @@
         long hash = StableHash.of(mRequest.id().value(), SPREAD_SEED);
         double draw = (hash >>> HASH_SHIFT) / HASH_DIVISOR;
         double forecast = mParts.waiting().forecastMillis(mRequest);
-        return RefusalRule.retryAfterMillis(forecast, remaining, draw);
+        double notBefore = millisUntil(mParts.pool().notBeforeNanos(mRequest));
+        return RefusalRule.retryAfterMillis(forecast, notBefore, remaining, draw);
     }
 
     /**
@@ -193,7 +221,17 @@
      * @return true if it cannot
      */
     private boolean isHopeless(double forecastMillis) {
-        return RefusalRule.isHopeless(
-                mParts.clock().nanos(), forecastMillis, mServiceMillis, mDeadlineNanos);
+        double wait = Math.max(forecastMillis, millisUntil(mNotBeforeNanos));
+        return RefusalRule.isHopeless(mParts.clock().nanos(), wait, mServiceMillis, mDeadlineNanos);
+    }
+
+    /**
+     * Returns the time until a moment.
+     *
+     * @param nanos the local monotonic time of the moment
+     * @return the time in milliseconds; 0 if the moment has passed
+     */
+    private double millisUntil(long nanos) {
+        return Math.max(0, (nanos - mParts.clock().nanos()) / NANOS_PER_MILLI);
     }
 }
--- a/router/src/main/java/org/magnoliaseam/gateway/GatewayAttempt.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/GatewayAttempt.java
@@ -10,13 +10,11 @@
 import org.magnoliaseam.gateway.EventSplitter.Event;
 import org.magnoliaseam.permit.PermitMessage;
 import org.magnoliaseam.permit.PermitOutcome;
+import org.magnoliaseam.pushback.NoticeFault;
 
 /** Tracks one attempt at a backend server and checks that its answer is complete. */
 final class GatewayAttempt implements AttemptListener {
 
-    /** The largest body that is buffered until it is complete, in bytes. */
-    private static final int MAX_BODY_BYTES = 8 * 1024 * 1024;
-
     /**
      * The time without an answer, as a multiple of the target, after which an attempt is given up.
      */
@@ -56,7 +54,7 @@
     private final EventSplitter mSplitter = new EventSplitter();
 
     /** The body of an answer that is not a stream. */
-    private final ByteArrayOutputStream mBody = new ByteArrayOutputStream();
+    private final BodyBuffer mBody = new BodyBuffer();
 
     /** Cancels the exchange; null before it has started. */
     private Cancellation mCancellation;
@@ -76,6 +74,9 @@
     /** Whether this entry VM gave up the attempt. */
     private boolean mGivenUp;
 
+    /** Whether the backend server asked for no requests for a time. */
+    private volatile boolean mPushedBack;
+
     /** The local monotonic time of the start or the last event. */
     private volatile long mProgressNanos;
 
@@ -244,6 +245,28 @@
         mFeedback.load(load);
     }
 
+    @Override
+    public void pushback(long millis) {
+        if (isCurrent()) {
+            mPushedBack = true;
+            mFeedback.pushback(millis);
+        }
+    }
+
+    @Override
+    public void faultyNotice(NoticeFault fault) {
+        mFeedback.faultyNotice(fault);
+    }
+
+    /**
+     * Tells whether the backend server asked for no requests for a time.
+     *
+     * @return true if it did in the answer of this attempt
+     */
+    boolean pushedBack() {
+        return mPushedBack;
+    }
+
     @Override
     public void leaving() {
         if (isCurrent()) {
@@ -263,13 +286,16 @@
     @Override
     public void head(AnswerHead head) {
         mHead = head;
+        if (!mPushedBack) {
+            mFeedback.answered();
+        }
         mStreamed = mOrder.request().route().kind().streamed() && head.status() < 300;
     }
 
     @Override
     public CompletableFuture<Void> content(ByteBuffer bytes) {
         if (!mStreamed) {
-            return buffer(bytes);
+            return mBody.add(bytes);
         }
         List<Event> events = mSplitter.feed(bytes);
         if (mSplitter.overflowed()) {
@@ -297,7 +323,9 @@
         if (!markEnded()) {
             return;
         }
-        if (mHead.status() >= 500) {
+        if (mPushedBack) {
+            mFeedback.ended();
+        } else if (mHead.status() >= 500) {
             mFeedback.failed(BackendFailure.SERVER_ERROR);
         } else {
             mFeedback.succeeded();
@@ -306,7 +334,7 @@
         if (mStreamed) {
             mCall.streamEnded(this, mHead);
         } else {
-            mCall.answered(this, mHead, mBody.toByteArray());
+            mCall.answered(this, mHead, mBody.bytes());
         }
     }
 
@@ -316,7 +344,7 @@
             return;
         }
         boolean cancelledHere = mGivenUp && failure == BackendFailure.INCOMPLETE;
-        if (cancelledHere && !silent(mParts.clock().nanos())) {
+        if (mPushedBack || cancelledHere && !silent(mParts.clock().nanos())) {
             mFeedback.ended();
         } else {
             mFeedback.failed(failure);
@@ -325,22 +353,6 @@
         mParts.waiting().drain();
     }
 
-    /**
-     * Buffers bytes of an answer until it is complete.
-     *
-     * @param bytes the bytes
-     * @return completes at once, exceptionally if the answer is too large
-     */
-    private CompletableFuture<Void> buffer(ByteBuffer bytes) {
-        byte[] copy = new byte[bytes.remaining()];
-        bytes.get(copy);
-        mBody.writeBytes(copy);
-        if (mBody.size() > MAX_BODY_BYTES) {
-            return CompletableFuture.failedFuture(new IllegalStateException("answer too large"));
-        }
-        return CompletableFuture.completedFuture(null);
-    }
-
     /** Records the arrival of events. */
     private void recordProgress() {
         long now = mParts.clock().nanos();
--- a/router/src/main/java/org/magnoliaseam/gateway/GatewayCall.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/GatewayCall.java
@@ -59,7 +59,7 @@
         mParts = parts;
         mOnEnd = onEnd;
         mRecord = new RequestRecord(request);
-        mPlacement = new CallPlacement(this, parts, mActions, mAnswer);
+        mPlacement = new CallPlacement(this, parts, mActions, mAnswer, mRecord);
     }
 
     /**
@@ -199,7 +199,7 @@
                     mPlacement.clear();
                     if (head.status() >= 500
                             && mRequest.route().idempotent()
-                            && mPlacement.mayRetry(mRecord)) {
+                            && mPlacement.mayRetry()) {
                         mPlacement.history().exclude(from.server().id());
                         refuseUnless(mPlacement.place());
                     } else {
@@ -286,7 +286,7 @@
         }
         mPlacement.clear();
         record(StepKind.valueOf(failure.name()), failed, detail);
-        if (failure != BackendFailure.HELD_BACK) {
+        if (failure != BackendFailure.HELD_BACK && !failed.pushedBack()) {
             mPlacement.history().exclude(failed.server().id());
         }
         if (failure.mayHaveRun()) {
@@ -294,7 +294,7 @@
         }
         if (failure.mayHaveRun() && !mRequest.route().idempotent()) {
             fail(failure.errorKind());
-        } else if (!mPlacement.mayRetry(mRecord)) {
+        } else if (!mPlacement.mayRepeat(failure)) {
             fail(
                     mPlacement.history().mayHaveBeenExecuted()
                             ? failure.errorKind()
--- a/router/src/main/java/org/magnoliaseam/gateway/ServerChoice.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/ServerChoice.java
@@ -13,6 +13,7 @@
      * @param entry its published entry at the selection
      * @param uncachedTokens the prompt tokens that it has to process, since it does not cache them
      * @param limits the prompt tokens that may wait at the engine before its own
+     * @param pushbacks the number of times that the backend server has asked for no requests
      * @param measurable whether the time to the first event measures the processing speed: no other
      *     prompt waited there, and the shared parts were cached there, as far as is known
      * @param reason the inputs of the decision, for the log
@@ -22,6 +23,7 @@
             ServerEntry entry,
             long uncachedTokens,
             ServerRoom.Limits limits,
+            int pushbacks,
             boolean measurable,
             String reason)
             implements ServerChoice {}
@@ -32,6 +34,10 @@
      * @param kind the error kind if no backend server has room in time
      * @param selective whether others have room, but waiting for the engine that caches the prompt
      *     costs less than processing the prompt again
+     * @param notBeforeNanos the local monotonic time before which no backend server takes the
+     *     request, because all of them have asked for no requests; now if there is none
+     * @param pushedBack the number of backend servers that want no requests at the moment
      */
-    record Wait(ErrorKind kind, boolean selective) implements ServerChoice {}
+    record Wait(ErrorKind kind, boolean selective, long notBeforeNanos, int pushedBack)
+            implements ServerChoice {}
 }
--- a/router/src/main/java/org/magnoliaseam/gateway/ServerFeedback.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/ServerFeedback.java
@@ -3,6 +3,7 @@
 import org.magnoliaseam.backend.BackendFailure;
 import org.magnoliaseam.leaving.LeavingSource;
 import org.magnoliaseam.leaving.ServerIncarnation;
+import org.magnoliaseam.pushback.NoticeFault;
 import org.magnoliaseam.time.MonotonicClock;
 
 /**
@@ -29,6 +30,12 @@
     /** The request. */
     private final GatewayRequest mRequest;
 
+    /** Logs and counts what backend servers state. */
+    private final ServerNotices mNotices;
+
+    /** Whether the attempt no longer counts among the unanswered requests. */
+    private boolean mAnswered;
+
     /** The clock. */
     private final MonotonicClock mClock;
 
@@ -57,6 +64,7 @@
         mRecentParts = recentParts;
         mStart = start;
         mRequest = request;
+        mNotices = pool.notices();
         mClock = clock;
     }
 
@@ -129,10 +137,58 @@
         }
     }
 
+    /**
+     * Records that the backend server wants no requests of this entry VM for a time.
+     *
+     * @param millis the time in milliseconds
+     */
+    void pushback(long millis) {
+        synchronized (mPool) {
+            mServers.pushedBack(server(), millis, mClock.nanos());
+        }
+    }
+
+    /**
+     * Records a header field that cannot be used.
+     *
+     * @param fault what is wrong
+     */
+    void faultyNotice(NoticeFault fault) {
+        synchronized (mPool) {
+            mNotices.faulty(server(), fault);
+        }
+    }
+
+    /** Records that the backend server began to answer. */
+    void answered() {
+        synchronized (mPool) {
+            leavePushback(true);
+        }
+    }
+
+    /**
+     * Ends the count of the attempt among the requests that are unanswered since a time without
+     * requests.
+     *
+     * @param answered whether the backend server began to answer
+     */
+    private void leavePushback(boolean answered) {
+        if (!mAnswered) {
+            mAnswered = true;
+            server().pushback().ended(mStart.pushbacks(), answered);
+        }
+    }
+
+    /** Counts the end of the attempt. */
+    private void end() {
+        leavePushback(false);
+        server().end();
+    }
+
     /** Counts a successful attempt. */
     void succeeded() {
         synchronized (mPool) {
-            server().end();
+            end();
             server().failures().succeeded();
         }
     }
@@ -140,7 +196,7 @@
     /** Counts an attempt whose end does not indicate success or failure of the backend server. */
     void ended() {
         synchronized (mPool) {
-            server().end();
+            end();
         }
     }
 
@@ -152,7 +208,7 @@
     void failed(BackendFailure failure) {
         synchronized (mPool) {
             long now = mClock.nanos();
-            server().end();
+            end();
             if (failure == BackendFailure.HELD_BACK) {
                 return;
             }
--- a/router/src/main/java/org/magnoliaseam/gateway/ServerNotices.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/ServerNotices.java
@@ -7,6 +7,7 @@
 import org.magnoliaseam.leaving.LeavingServers;
 import org.magnoliaseam.leaving.LeavingSource;
 import org.magnoliaseam.leaving.ServerIncarnation;
+import org.magnoliaseam.pushback.NoticeFault;
 
 /** Logs and counts what backend servers state about themselves. Thread-safe. */
 public final class ServerNotices {
@@ -20,6 +21,15 @@
     /** The number of leaving backend servers that started again under the same id. */
     private final LongAdder mLeavingEnded = new LongAdder();
 
+    /** The number of times without requests that have begun. */
+    private final LongAdder mPushbackBegun = new LongAdder();
+
+    /** The number of times without requests that have ended. */
+    private final LongAdder mPushbackEnded = new LongAdder();
+
+    /** The number of header fields that could not be used. */
+    private final LongAdder mFaulty = new LongAdder();
+
     /**
      * Records that a backend server is leaving.
      *
@@ -53,6 +63,94 @@
                 TimeUnit.NANOSECONDS.toMillis(nowNanos - known.sinceNanos()));
     }
 
+    /**
+     * Records that a backend server wants no requests for a time.
+     *
+     * @param state the backend server
+     * @param millis the time in milliseconds
+     * @param nowNanos the local monotonic time
+     */
+    void pushbackBegan(BackendServerState state, long millis, long nowNanos) {
+        mPushbackBegun.increment();
+        if (state.pushback().takeReport(nowNanos)) {
+            LOG.info(
+                    "board: backend server wants no requests, id={} millis={} running={}"
+                            + " source=answer",
+                    state.id(),
+                    millis,
+                    state.running());
+        }
+    }
+
+    /**
+     * Records that a time without requests has ended.
+     *
+     * @param state the backend server
+     * @param nowNanos the local monotonic time
+     */
+    void pushbackEnded(BackendServerState state, long nowNanos) {
+        mPushbackEnded.increment();
+        if (state.pushback().takeReport(nowNanos)) {
+            LOG.info(
+                    "board: backend server takes requests again, id={} age_ms={}",
+                    state.id(),
+                    state.pushback().lastedMillis());
+        }
+    }
+
+    /**
+     * Records that a backend server wants no requests nearly all the time.
+     *
+     * @param state the backend server
+     */
+    void pushbackNearlyPermanent(BackendServerState state) {
+        LOG.warn("board: backend server wants no requests nearly always, id={}", state.id());
+    }
+
+    /**
+     * Records a header field that cannot be used. Each kind is logged once for a start of a backend
+     * server.
+     *
+     * @param state the backend server
+     * @param fault what is wrong
+     */
+    void faulty(BackendServerState state, NoticeFault fault) {
+        mFaulty.increment();
+        if (state.logs(fault)) {
+            LOG.warn(
+                    "board: notice of a backend server cannot be used, id={} fault={}",
+                    state.id(),
+                    fault.text());
+        }
+    }
+
+    /**
+     * Returns how many times without requests have begun.
+     *
+     * @return the number since the start of the process
+     */
+    public long pushbackBegun() {
+        return mPushbackBegun.sum();
+    }
+
+    /**
+     * Returns how many times without requests have ended.
+     *
+     * @return the number since the start of the process
+     */
+    public long pushbackEnded() {
+        return mPushbackEnded.sum();
+    }
+
+    /**
+     * Returns how many header fields could not be used.
+     *
+     * @return the number since the start of the process
+     */
+    public long faulty() {
+        return mFaulty.sum();
+    }
+
     /**
      * Returns how many backend servers were found to be leaving.
      *
--- a/router/src/main/java/org/magnoliaseam/gateway/ServerPool.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/ServerPool.java
@@ -162,6 +162,7 @@
     synchronized void members(Membership members) {
         mPeerLoads.expire(mClock.nanos());
         mServers.removeExpired(mClock.nanos());
+        mServers.endPushbacks(mClock.nanos());
         if (members.vms() != mShares.vms()) {
             LOG.info(
                     "board: entry VMs that share the limits, before={} now={}",
@@ -184,11 +185,13 @@
         long now = mClock.nanos();
         List<BackendServerState> present = mServers.inService(request.service().name());
         if (present.isEmpty()) {
-            return new ServerChoice.Wait(ErrorKind.NO_BACKEND_SERVER, false);
+            return new ServerChoice.Wait(ErrorKind.NO_BACKEND_SERVER, false, now, 0);
         }
+        int pushedBack = pushedBack(present, now);
         List<BackendServerState> candidates = candidates(request, present, excluded, now);
         if (candidates.isEmpty()) {
-            return new ServerChoice.Wait(ErrorKind.OVERLOADED, false);
+            return new ServerChoice.Wait(
+                    ErrorKind.OVERLOADED, false, notBefore(present, excluded, now), pushedBack);
         }
         BackendServerState chosen = mSelector.choose(request, present, candidates, now);
         if (!ServerRoom.hasRoom(request, chosen, now)) {
@@ -197,16 +200,21 @@
                             .filter(state -> ServerRoom.hasRoom(request, state, now))
                             .toList();
             if (patient || free.isEmpty()) {
-                return new ServerChoice.Wait(ErrorKind.OVERLOADED, !free.isEmpty());
+                return new ServerChoice.Wait(
+                        ErrorKind.OVERLOADED, !free.isEmpty(), now, pushedBack);
             }
             chosen = mSelector.choose(request, present, free, now);
         }
-        String reason = mSelector.describe(request, chosen, candidates.size(), now);
+        String reason =
+                mSelector.describe(request, chosen, candidates.size(), now)
+                        + (pushedBack > 0 ? " pushed_back=" + pushedBack : "");
         boolean idle = chosen.waitingTokens(mPeerLoads, now) == 0;
         long tokens = chosen.start(request, mShares, now);
         boolean measurable = idle && tokens <= request.prompt().ownTokens();
         ServerRoom.Limits limits = mRoom.limits(request, chosen, now);
-        return new ServerChoice.Start(chosen, chosen.entry(), tokens, limits, measurable, reason);
+        int pushbacks = chosen.pushback().started();
+        return new ServerChoice.Start(
+                chosen, chosen.entry(), tokens, limits, pushbacks, measurable, reason);
     }
 
     /**
@@ -240,7 +248,7 @@
 
     /**
      * Selects the backend servers that may run a request now. Ejected ones are used only if there
-     * is no other.
+     * is no other that will take the request before its deadline.
      *
      * @param request the request
      * @param present the backend servers of the service that are in service
@@ -261,14 +269,75 @@
                 continue;
             }
             boolean sound = !state.failures().ejected(state.running(), now);
-            anyHealthy |= sound;
-            if (mRoom.hasSlot(state, now)) {
+            long until = state.pushback().untilNanos(now);
+            anyHealthy |= sound && (until == now || until - request.deadlineNanos() < 0);
+            if (mRoom.hasSlot(state, now) && state.pushback().admits(now)) {
                 (sound ? healthy : ejected).add(state);
             }
         }
         return anyHealthy ? healthy : ejected;
     }
 
+    /**
+     * Counts the backend servers that want no requests at the moment.
+     *
+     * @param present the backend servers of the service that are in service
+     * @param now the local monotonic time
+     * @return the number of backend servers
+     */
+    private static int pushedBack(List<BackendServerState> present, long now) {
+        int count = 0;
+        for (BackendServerState state : present) {
+            count += state.pushback().isActive(now) ? 1 : 0;
+        }
+        return count;
+    }
+
+    /**
+     * Returns the decision of a request that finds no room.
+     *
+     * @param request the request
+     * @return the decision to wait
+     */
+    synchronized ServerChoice.Wait noRoom(GatewayRequest request) {
+        long now = mClock.nanos();
+        List<BackendServerState> present = mServers.inService(request.service().name());
+        return new ServerChoice.Wait(
+                ErrorKind.OVERLOADED,
+                false,
+                notBefore(present, Set.of(), now),
+                pushedBack(present, now));
+    }
+
+    /**
+     * Returns the time before which no backend server takes a request of a service.
+     *
+     * @param present the backend servers of the service that are in service
+     * @param excluded the backend servers that get no further attempt of the request
+     * @param now the local monotonic time
+     * @return the earliest end of the times for which they want no requests; now if one of them may
+     *     take it at any moment, or if there is none
+     */
+    private static long notBefore(
+            List<BackendServerState> present, Set<BackendServerId> excluded, long now) {
+        return present.stream()
+                        .filter(state -> !excluded.contains(state.id()))
+                        .mapToLong(state -> state.pushback().untilNanos(now) - now)
+                        .min()
+                        .orElse(0)
+                + now;
+    }
+
+    /**
+     * Returns the time before which no backend server takes a request.
+     *
+     * @param request the request
+     * @return the local monotonic time; now if one of them may take it at any moment
+     */
+    synchronized long notBeforeNanos(GatewayRequest request) {
+        return notBefore(mServers.inService(request.service().name()), Set.of(), mClock.nanos());
+    }
+
     /**
      * Returns the entry VMs that share limits.
      *
@@ -294,11 +363,13 @@
      * sent.
      *
      * @param order the attempt
-     * @return true if it is published, in service and not leaving
+     * @return true if it is published, in service, not leaving and has not asked for no requests
      */
     synchronized boolean confirm(TryOrder order) {
         BackendServerState state = mServers.find(order.server().id());
-        return state != null && mServers.isInService(state, order.request().service().name());
+        return state != null
+                && mServers.isInService(state, order.request().service().name())
+                && !state.pushback().isActive(mClock.nanos());
     }
 
     /**
--- a/router/src/main/java/org/magnoliaseam/gateway/ServerRegistry.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/ServerRegistry.java
@@ -6,6 +6,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Random;
 import java.util.Set;
 import java.util.TreeMap;
 import org.apache.logging.log4j.LogManager;
@@ -56,6 +57,9 @@
     private final RepeatedItems<ServerIncarnation> mRecentlyLeaving =
             new RepeatedItems<>(MAX_LEAVING_REPORTED);
 
+    /** Spreads the ends of times without requests. */
+    private final Random mRandom = new Random();
+
     /** Logs and counts what backend servers state. */
     private final ServerNotices mNotices;
 
@@ -139,6 +143,35 @@
         return mRecentlyLeaving.next(digests);
     }
 
+    /**
+     * Records that a backend server wants no requests of this entry VM for a time.
+     *
+     * @param state the backend server
+     * @param millis the time in milliseconds
+     * @param nowNanos the local monotonic time
+     */
+    void pushedBack(BackendServerState state, long millis, long nowNanos) {
+        if (state.pushback().received(millis, mRandom.nextDouble(), nowNanos)) {
+            mNotices.pushbackBegan(state, millis, nowNanos);
+        }
+        if (state.pushback().takeNearlyPermanent(nowNanos)) {
+            mNotices.pushbackNearlyPermanent(state);
+        }
+    }
+
+    /**
+     * Records which times without requests have ended.
+     *
+     * @param nowNanos the local monotonic time
+     */
+    void endPushbacks(long nowNanos) {
+        for (BackendServerState state : mServers.values()) {
+            if (state.pushback().takeEnd(nowNanos)) {
+                mNotices.pushbackEnded(state, nowNanos);
+            }
+        }
+    }
+
     /**
      * Returns the published backend servers that are leaving.
      *
--- a/router/src/main/java/org/magnoliaseam/gateway/StepKind.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/StepKind.java
@@ -6,6 +6,8 @@
 public enum StepKind {
     /** An attempt was assigned to a backend server and handed to the backend protocol. */
     SENT,
+    /** No backend server had room, so the request began to wait. */
+    WAITING,
     /** The first event of a stream was received. */
     FIRST_EVENT,
     /** A complete answer that is not a stream was received. */
--- a/router/src/main/java/org/magnoliaseam/placement/RefusalRule.java
+++ b/router/src/main/java/org/magnoliaseam/placement/RefusalRule.java
@@ -48,14 +48,19 @@
      *
      * @param forecastMillis the time until the waiting requests will have been started, in
      *     milliseconds
+     * @param notBeforeMillis the time until the first backend server takes requests again, in
+     *     milliseconds; 0 if one may take them at any moment
      * @param remainingMillis the time until the caller's deadline, in milliseconds
      * @param draw a number from 0 to below 1 that differs between callers
-     * @return the delay in milliseconds; 0 if no time is left
+     * @return the delay in milliseconds; 0 if no time is left and a backend server may take
+     *     requests
      */
     public static long retryAfterMillis(
-            double forecastMillis, double remainingMillis, double draw) {
+            double forecastMillis, double notBeforeMillis, double remainingMillis, double draw) {
         double base = Math.max(MIN_RETRY_MILLIS, Math.min(MAX_RETRY_MILLIS, forecastMillis));
-        double spread = base * (1 + SPREAD * draw);
-        return (long) Math.max(0, Math.min(spread, REMAINING_SHARE * remainingMillis));
+        double spread = base * SPREAD * draw;
+        double delay = Math.max(0, Math.min(base + spread, REMAINING_SHARE * remainingMillis));
+        return (long)
+                Math.ceil(notBeforeMillis > 0 ? Math.max(delay, notBeforeMillis + spread) : delay);
     }
 }
--- a/router/src/main/java/org/magnoliaseam/platform/ServerExchange.java
+++ b/router/src/main/java/org/magnoliaseam/platform/ServerExchange.java
@@ -21,6 +21,8 @@
 import org.magnoliaseam.gateway.AttemptListener;
 import org.magnoliaseam.gateway.ReportedLoad;
 import org.magnoliaseam.model.RequestId;
+import org.magnoliaseam.pushback.NoticeFault;
+import org.magnoliaseam.pushback.PushbackNotice;
 
 /** Reads the response of a backend server and checks that it belongs to the request. */
 final class ServerExchange {
@@ -95,9 +97,8 @@
         }
         load(fields.get(WireNames.LOAD));
         int status = response.getStatus();
-        if (status != HttpStatus.MISDIRECTED_REQUEST_421
-                && fields.contains(WireNames.LEAVING, LEAVING)) {
-            mListener.leaving();
+        if (status != HttpStatus.MISDIRECTED_REQUEST_421) {
+            notices(fields, status);
         }
         if (status == HttpStatus.MISDIRECTED_REQUEST_421) {
             mFailure = BackendFailure.REFUSED;
@@ -172,6 +173,26 @@
         response.abort(new CallCancelledException());
     }
 
+    /**
+     * Reads what the backend server states about itself.
+     *
+     * @param fields the header fields of its answer
+     * @param status the status of its answer
+     */
+    private void notices(HttpFields fields, int status) {
+        String leaving = fields.get(WireNames.LEAVING);
+        if (LEAVING.equals(leaving)) {
+            mListener.leaving();
+        } else if (leaving != null) {
+            mListener.faultyNotice(NoticeFault.UNKNOWN_LEAVING_VALUE);
+        }
+        PushbackNotice delay = RetryDelay.read(fields, status);
+        delay.fault().ifPresent(mListener::faultyNotice);
+        if (delay.millis() > 0) {
+            mListener.pushback(delay.millis());
+        }
+    }
+
     /**
      * Passes a reported load to the listener; a malformed one is ignored.
      *
--- a/router/src/main/java/org/magnoliaseam/route/GatewayFactory.java
+++ b/router/src/main/java/org/magnoliaseam/route/GatewayFactory.java
@@ -21,6 +21,7 @@
 import org.magnoliaseam.gateway.PublishedRevision;
 import org.magnoliaseam.gateway.RequestLog;
 import org.magnoliaseam.gateway.RetryLimits;
+import org.magnoliaseam.gateway.ServerNotices;
 import org.magnoliaseam.gateway.ServerPool;
 import org.magnoliaseam.gateway.ShutdownState;
 import org.magnoliaseam.gossip.GossipNode;
@@ -182,6 +183,12 @@
         metrics.registerGauge("gateway.catalog_fresh", () -> currentCatalog.fresh() ? 1 : 0);
         metrics.registerGauge("gateway.backend_servers", pool::size);
         metrics.registerGauge("gateway.active", gateway::active);
+        ServerNotices notices = pool.notices();
+        metrics.registerGauge("gateway.leaving.begun", notices::leavingBegun);
+        metrics.registerGauge("gateway.leaving.ended", notices::leavingEnded);
+        metrics.registerGauge("gateway.pushback.begun", notices::pushbackBegun);
+        metrics.registerGauge("gateway.pushback.ended", notices::pushbackEnded);
+        metrics.registerGauge("gateway.notices.faulty", notices::faulty);
     }
 
     /**
--- a/router/src/test/java/org/magnoliaseam/PureDecisionPackagesTest.java
+++ b/router/src/test/java/org/magnoliaseam/PureDecisionPackagesTest.java
@@ -28,7 +28,9 @@
         "org.magnoliaseam.placement..",
         "org.magnoliaseam.fact..",
         "org.magnoliaseam.membership..",
-        "org.magnoliaseam.rollout.."
+        "org.magnoliaseam.rollout..",
+        "org.magnoliaseam.leaving..",
+        "org.magnoliaseam.pushback.."
     };
 
     private static final DescribedPredicate<JavaClass> SHELL_PACKAGE =
--- a/router/src/test/java/org/magnoliaseam/gateway/GatewayFixtures.java
+++ b/router/src/test/java/org/magnoliaseam/gateway/GatewayFixtures.java
@@ -114,4 +114,17 @@
                 0,
                 1);
     }
+
+    /** Returns the entry of the next start of a backend server under the same id. */
+    static ServerEntry laterStart(ServerEntry entry) {
+        return new ServerEntry(
+                entry.id(),
+                entry.service(),
+                entry.address(),
+                entry.failureDomain(),
+                entry.slots(),
+                entry.draining(),
+                entry.coldMillis(),
+                entry.startMark() + 1);
+    }
 }
--- a/router/src/test/java/org/magnoliaseam/gateway/ServerSelectorTest.java
+++ b/router/src/test/java/org/magnoliaseam/gateway/ServerSelectorTest.java
@@ -268,7 +268,7 @@
                 refused++;
                 choice = mPool.choose(longPrompt, Set.of(), false);
             }
-            assertThat(choice).isEqualTo(new ServerChoice.Wait(ErrorKind.OVERLOADED, false));
+            assertThat(choice).isEqualTo(new ServerChoice.Wait(ErrorKind.OVERLOADED, false, 1, 0));
             assertThat(refused).isBetween(1, 5);
         }
 
@@ -278,7 +278,7 @@
             ServerChoice.Start first = start(request);
             mPool.feedback(first, request).permitRefused(100);
             assertThat(mPool.choose(request, Set.of(), true))
-                    .isEqualTo(new ServerChoice.Wait(ErrorKind.OVERLOADED, true));
+                    .isEqualTo(new ServerChoice.Wait(ErrorKind.OVERLOADED, true, 1, 0));
             ServerChoice.Start other = (ServerChoice.Start) mPool.choose(request, Set.of(), false);
             assertThat(other.server()).isNotSameAs(first.server());
         }
--- a/router/src/test/java/org/magnoliaseam/placement/RefusalRuleTest.java
+++ b/router/src/test/java/org/magnoliaseam/placement/RefusalRuleTest.java
@@ -94,18 +94,18 @@
     class Return {
         @Test
         void callersReturnWhenTheQueueHasDrained() {
-            assertThat(RefusalRule.retryAfterMillis(800, 10_000, 0)).isEqualTo(800);
+            assertThat(RefusalRule.retryAfterMillis(800, 0, 10_000, 0)).isEqualTo(800);
         }
 
         @Test
         void callersReturnAtDifferentTimes() {
-            assertThat(RefusalRule.retryAfterMillis(800, 10_000, 0.5)).isEqualTo(1000);
+            assertThat(RefusalRule.retryAfterMillis(800, 0, 10_000, 0.5)).isEqualTo(1000);
         }
 
         @Test
         void delayLeavesTimeForTheNextAttempt() {
-            assertThat(RefusalRule.retryAfterMillis(4000, 3000, 0.9)).isEqualTo(900);
-            assertThat(RefusalRule.retryAfterMillis(4000, -5, 0.9)).isZero();
+            assertThat(RefusalRule.retryAfterMillis(4000, 0, 3000, 0.9)).isEqualTo(900);
+            assertThat(RefusalRule.retryAfterMillis(4000, 0, -5, 0.9)).isZero();
         }
     }
 
--- a/router/src/test/java/org/magnoliaseam/platform/ServerProtocolTest.java
+++ b/router/src/test/java/org/magnoliaseam/platform/ServerProtocolTest.java
@@ -12,6 +12,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.client.transport.HttpClientTransportOverHTTP;
@@ -36,6 +37,7 @@
 import org.magnoliaseam.model.FailureDomain;
 import org.magnoliaseam.model.RequestId;
 import org.magnoliaseam.model.ServiceName;
+import org.magnoliaseam.pushback.NoticeFault;
 
 /**
  * Tests, against a raw socket, how responses are accepted or rejected, above all those that are
@@ -57,7 +59,9 @@
     /** Records how an attempt ended. */
     private static final class RecordingListener implements AttemptListener {
         private final CompletableFuture<String> mEnd = new CompletableFuture<>();
+        private final List<NoticeFault> mFaults = new CopyOnWriteArrayList<>();
         private volatile boolean mLeaving;
+        private volatile long mPushbackMillis;
 
         @Override
         public boolean sending() {
@@ -85,6 +89,16 @@
         @Override
         public void load(ReportedLoad load) {}
 
+        @Override
+        public void pushback(long millis) {
+            mPushbackMillis = millis;
+        }
+
+        @Override
+        public void faultyNotice(NoticeFault fault) {
+            mFaults.add(fault);
+        }
+
         @Override
         public void leaving() {
             mLeaving = true;
@@ -249,6 +263,42 @@
         }
     }
 
+    /** Tests answers that ask for no requests for a time. */
+    @Nested
+    class Pushback {
+        private void refuse(String fields) throws Exception {
+            attempt(
+                    "HTTP/1.1 503 Full\r\nX-Request-Id: r1\r\nX-Not-Executed: 1\r\n"
+                            + fields
+                            + "Content-Length: 0\r\n\r\n",
+                    false);
+        }
+
+        @Test
+        void delayOfARefusalIsPassedOn() throws Exception {
+            refuse("Retry-After: 0.3\r\n");
+            assertThat(mListener.mPushbackMillis).isEqualTo(300);
+            assertThat(mListener.mFaults).isEmpty();
+        }
+
+        @Test
+        void delayAndLeavingAreBothPassedOn() throws Exception {
+            refuse("Retry-After: 2\r\nServer-Leaving: 1\r\n");
+            assertThat(mListener.mPushbackMillis).isEqualTo(2000);
+            assertThat(mListener.mLeaving).isTrue();
+        }
+
+        @Test
+        void faultyFieldsAreReportedAndTheAttemptEndsAsUsual() throws Exception {
+            refuse("Retry-After: soon\r\nServer-Leaving: perhaps\r\n");
+            assertThat(mListener.mPushbackMillis).isZero();
+            assertThat(mListener.mFaults)
+                    .containsExactlyInAnyOrder(
+                            NoticeFault.MALFORMED_DELAY, NoticeFault.UNKNOWN_LEAVING_VALUE);
+            assertThat(mListener.mEnd.join()).isEqualTo("REFUSED");
+        }
+    }
+
     /** Answers one request on a connection that is kept, and returns what is read next. */
     private int serveUntilClosed() {
         try (Socket socket = mServer.accept()) {
