Let stand-ins say that they leave or want no requests, and soak it

Change: ServerStandIn states what StatedNotices hold (leaving, retry delays, several of them, on 503, 429 and 200, unknown values) and starts again under its id with a later start mark. SoakNoticeChecker compares what processes were told with what they sent: nothing to a server 2 s after its answer, at most two requests to one that wants none, whatever happens to the store.

--- a/testbed/src/main/java/org/magnoliaseam/testbed/http/HttpExchange.java
+++ b/testbed/src/main/java/org/magnoliaseam/testbed/http/HttpExchange.java
@@ -113,6 +113,16 @@
         return this;
     }
 
+    /**
+     * Adds a header field to the response, beside those of the same name.
+     *
+     * @param name the name
+     * @param value the value
+     */
+    public void add(String name, String value) {
+        mResponse.getHeaders().add(name, value);
+    }
+
     /**
      * Answers with a JSON body.
      *
--- a/testbed/src/main/java/org/magnoliaseam/testbed/soak/SoakFault.java
+++ b/testbed/src/main/java/org/magnoliaseam/testbed/soak/SoakFault.java
@@ -1,8 +1,10 @@
 package org.magnoliaseam.testbed.soak;
 
+import java.util.List;
 import org.magnoliaseam.testbed.proxy.Fault;
 import org.magnoliaseam.testbed.proxy.LinkFaults;
 import org.magnoliaseam.testbed.store.ServerStandIn.Mode;
+import org.magnoliaseam.testbed.store.StatedNotices;
 
 /** Lists the faults and planned changes of a soak test. */
 enum SoakFault {
@@ -51,7 +53,28 @@
     /** Publishes a new configuration. */
     CONFIGURE(100, 200, (site, target) -> site.configure()),
     /** Takes a failure domain out of service and back. */
-    EVACUATE(3000, 8000, (site, target) -> site.evacuate(target));
+    EVACUATE(3000, 8000, (site, target) -> site.evacuate(target)),
+    /** Makes a server say that it is leaving, and start again under its id. */
+    SERVER_SAYS_LEAVING(2600, 4500, (site, target) -> site.server(target).leaveByAnswer()),
+    /** Makes a server refuse requests and ask for none for a short time. */
+    SERVER_PUSHES_BACK(300, 2500, stated(StatedNotices.pushback("0.3"))),
+    /** Makes a server refuse requests and ask for none for longer than the fault lasts. */
+    SERVER_PUSHES_BACK_LONG(300, 1500, stated(StatedNotices.pushback("2"))),
+    /** Makes a server refuse requests with a retry delay that is no number. */
+    SERVER_STATES_NO_NUMBER(200, 1500, stated(faulty(503, "soon"))),
+    /** Makes a server refuse requests with a negative retry delay. */
+    SERVER_STATES_NEGATIVE(200, 1500, stated(faulty(503, "-1"))),
+    /** Makes a server refuse requests with two retry delays. */
+    SERVER_STATES_TWO(200, 1500, stated(faulty(503, "0.2", "0.1"))),
+    /** Makes a server refuse requests with status 429 and a very long retry delay. */
+    SERVER_STATES_WITH_429(200, 1500, stated(faulty(429, "1e9"))),
+    /** Makes a server add a very long retry delay to the answers of requests that it serves. */
+    SERVER_STATES_WITH_SUCCESS(200, 2000, stated(faulty(0, "1e9"))),
+    /** Makes a server add an unknown value of the field for servers that are leaving. */
+    SERVER_STATES_UNKNOWN(200, 2000, stated(new StatedNotices("perhaps", List.of("0"), 0)));
+
+    /** The number of faults that plans draw; the later ones have a plan of their own. */
+    static final int FIRST_NOTICE = SERVER_SAYS_LEAVING.ordinal();
 
     /** The shortest and the longest duration in milliseconds. */
     private final int[] mMillis;
@@ -136,4 +159,25 @@
     private static Action serverMode(Mode mode) {
         return (site, target) -> site.server(target).mode(mode);
     }
+
+    /**
+     * Creates an action that makes a server state something in its answers.
+     *
+     * @param notices what it states
+     * @return the action
+     */
+    private static Action stated(StatedNotices notices) {
+        return (site, target) -> site.server(target).state(notices);
+    }
+
+    /**
+     * Creates notices with retry delays that cannot be used as they are.
+     *
+     * @param refusal the status with which requests are refused; 0 if they are served
+     * @param delays the retry delays
+     * @return the notices
+     */
+    private static StatedNotices faulty(int refusal, String... delays) {
+        return new StatedNotices("", List.of(delays), refusal);
+    }
 }
--- a/testbed/src/main/java/org/magnoliaseam/testbed/soak/SoakPlan.java
+++ b/testbed/src/main/java/org/magnoliaseam/testbed/soak/SoakPlan.java
@@ -10,6 +10,12 @@
     /** The shortest and the longest time between two draws in milliseconds. */
     private static final int[] GAP_MILLIS = {150, 1400};
 
+    /** The shortest and the longest time between two draws of notices in milliseconds. */
+    private static final int[] NOTICE_GAP_MILLIS = {500, 3500};
+
+    /** Tells the draw of notices from that of the other faults of a seed. */
+    private static final long NOTICE_SEED = 0x5eedL << 32;
+
     /** The shortest and the longest time between the faults of a series in milliseconds. */
     private static final int[] SERIES_GAP_MILLIS = {200, 1200};
 
@@ -28,11 +34,32 @@
      * @return the faults, ordered by start time within each draw
      */
     static List<SoakStep> draw(long seed, long millis, int targets) {
-        Random random = new Random(seed);
+        List<SoakFault> all = List.of(SoakFault.values());
+        List<SoakFault> first = all.subList(0, SoakFault.FIRST_NOTICE);
+        List<SoakFault> notices = all.subList(SoakFault.FIRST_NOTICE, all.size());
+        List<SoakStep> steps = draw(new Random(seed), first, GAP_MILLIS, millis, targets);
+        // A draw of their own, so that the seeds of earlier failures draw what they drew then.
+        Random random = new Random(seed ^ NOTICE_SEED);
+        steps.addAll(draw(random, notices, NOTICE_GAP_MILLIS, millis, targets));
+        return steps;
+    }
+
+    /**
+     * Draws faults of some kinds.
+     *
+     * @param random the source of random numbers
+     * @param faults the kinds
+     * @param gapMillis the shortest and the longest time between two draws in milliseconds
+     * @param millis the length of the soak test in milliseconds
+     * @param targets the number of entry VMs, and of backend servers
+     * @return the faults, ordered by start time within each draw
+     */
+    private static List<SoakStep> draw(
+            Random random, List<SoakFault> faults, int[] gapMillis, long millis, int targets) {
         List<SoakStep> steps = new ArrayList<>();
-        long at = between(random, GAP_MILLIS);
+        long at = between(random, gapMillis);
         while (at < millis) {
-            SoakFault fault = SoakFault.values()[random.nextInt(SoakFault.values().length)];
+            SoakFault fault = faults.get(random.nextInt(faults.size()));
             int first = random.nextInt(targets);
             int count = random.nextDouble() < SERIES_SHARE ? targets : 1;
             long begin = at;
@@ -41,7 +68,7 @@
                 steps.add(new SoakStep(begin, fault, (first + i) % targets, length));
                 begin += between(random, SERIES_GAP_MILLIS);
             }
-            at += between(random, GAP_MILLIS);
+            at += between(random, gapMillis);
         }
         return steps;
     }
--- a/testbed/src/main/java/org/magnoliaseam/testbed/soak/SoakRun.java
+++ b/testbed/src/main/java/org/magnoliaseam/testbed/soak/SoakRun.java
@@ -90,6 +90,7 @@
             TimeUnit.MILLISECONDS.sleep(LATE_EXECUTION_MILLIS);
             List<String> violations = new ArrayList<>(mViolations);
             violations.addAll(new SoakChecker(site).check(callers.calls()));
+            violations.addAll(new SoakNoticeChecker(site).check(callers.calls()));
             long whole = callers.calls().stream().filter(SoakRun::good).count();
             return new Outcome(callers.calls().size(), (int) whole, steps.size(), violations);
         } finally {
--- a/testbed/src/main/java/org/magnoliaseam/testbed/soak/SoakServer.java
+++ b/testbed/src/main/java/org/magnoliaseam/testbed/soak/SoakServer.java
@@ -9,6 +9,7 @@
 import org.magnoliaseam.testbed.proxy.FaultProxy;
 import org.magnoliaseam.testbed.proxy.LinkFaults;
 import org.magnoliaseam.testbed.store.ServerStandIn;
+import org.magnoliaseam.testbed.store.StatedNotices;
 import org.magnoliaseam.testbed.store.StoreStandIn;
 
 /** Runs a slot for backend servers: one at a time, each with a new id. Thread-safe. */
@@ -56,6 +57,9 @@
         /** The local monotonic time at which the store listed it as draining. */
         private volatile long mDrainingNanos = Long.MAX_VALUE;
 
+        /** The local monotonic times at which it started again after it had left. */
+        private final List<Long> mReturnsNanos = new CopyOnWriteArrayList<>();
+
         /**
          * Creates an instance.
          *
@@ -87,6 +91,25 @@
             return mDrainingNanos;
         }
 
+        /**
+         * Returns how often the server had started again after it had left.
+         *
+         * @param nanos the local monotonic time
+         * @return the number of later starts up to then
+         */
+        long returns(long nanos) {
+            return mReturnsNanos.stream().filter(returned -> returned <= nanos).count();
+        }
+
+        /**
+         * Returns the requests that arrived.
+         *
+         * @return the requests in order
+         */
+        List<ServerStandIn.Arrival> arrivals() {
+            return mServer.arrivals();
+        }
+
         /**
          * Returns the id.
          *
@@ -234,6 +257,55 @@
         };
     }
 
+    /**
+     * Makes the current instance say in its answers that it is leaving, while its entry stays as it
+     * is. At the end it starts again under the same id at the same address.
+     *
+     * @return ends the fault
+     */
+    synchronized AutoCloseable leaveByAnswer() {
+        if (mReplacing) {
+            return () -> {};
+        }
+        mReplacing = true;
+        Instance instance = current();
+        instance.mServer.state(StatedNotices.LEAVING);
+        return () -> startAgain(instance);
+    }
+
+    /**
+     * Starts an instance again under its id.
+     *
+     * @param instance the instance, which has left
+     */
+    private synchronized void startAgain(Instance instance) {
+        instance.mServer.server().resetAll();
+        instance.mServer.state(StatedNotices.NONE);
+        instance.mServer.startAgain();
+        instance.mReturnsNanos.add(System.nanoTime());
+        publish(instance, "ready");
+        mReplacing = false;
+    }
+
+    /**
+     * Makes the current instance state something in its answers.
+     *
+     * @param notices what it states
+     * @return ends the fault
+     */
+    synchronized AutoCloseable state(StatedNotices notices) {
+        if (mReplacing) {
+            return () -> {};
+        }
+        DisturbanceLog.Interval interval = mDisturbances.begin();
+        ServerStandIn server = current().mServer;
+        server.state(notices);
+        return () -> {
+            server.state(StatedNotices.NONE);
+            interval.end();
+        };
+    }
+
     @Override
     public void close() throws Exception {
         for (Instance instance : mInstances) {
--- a/testbed/src/main/java/org/magnoliaseam/testbed/store/ServerStandIn.java
+++ b/testbed/src/main/java/org/magnoliaseam/testbed/store/ServerStandIn.java
@@ -21,6 +21,9 @@
     /** The status if the request was meant for another server at the same address. */
     private static final int MISDIRECTED = 421;
 
+    /** The status of a refusal unless another one is stated. */
+    private static final int UNAVAILABLE = 503;
+
     /** Lists how a server handles requests. */
     public enum Mode {
         /** Answers normally. */
@@ -52,9 +55,27 @@
     /** The account and key of the last request that ran, in the form of {@link #lastHeaders()}. */
     private volatile String mLastHeaders = "";
 
+    /** The requests that arrived, in order. */
+    private final List<Arrival> mArrivals = new CopyOnWriteArrayList<>();
+
     /** How the server handles requests. */
     private volatile Mode mMode = Mode.SOUND;
 
+    /** What the server states about itself. */
+    private volatile StatedNotices mNotices = StatedNotices.NONE;
+
+    /** The time of its start, which grows with each start, in Unix milliseconds. */
+    private volatile long mStartMark = System.currentTimeMillis();
+
+    /**
+     * Records a request that arrived.
+     *
+     * @param request the id of the request
+     * @param nanos the local monotonic time
+     * @param notices what the answer states
+     */
+    public record Arrival(String request, long nanos, StatedNotices notices) {}
+
     /**
      * Records the start of an execution.
      *
@@ -98,6 +119,29 @@
         mMode = mode;
     }
 
+    /**
+     * Changes what the server states about itself in its answers.
+     *
+     * @param notices the new notices
+     */
+    public void state(StatedNotices notices) {
+        mNotices = notices;
+    }
+
+    /** Makes the next entry the one of a later start under the same id. */
+    public void startAgain() {
+        mStartMark = Math.max(mStartMark + 1, System.currentTimeMillis());
+    }
+
+    /**
+     * Returns the requests that arrived, also those that were refused.
+     *
+     * @return the requests in order
+     */
+    public List<Arrival> arrivals() {
+        return mArrivals;
+    }
+
     /**
      * Returns the requests that ran.
      *
@@ -157,8 +201,9 @@
      */
     public String entry(String service, String domain, String state, ListenAddress address) {
         return ("{\"service\":\"%s\",\"address\":\"%s:%d\",\"zone\":\"%s\",\"version\":\"v1\","
-                        + "\"slots\":8,\"state\":\"%s\",\"cold_remaining_ms\":0,\"sequence\":1}")
-                .formatted(service, address.host(), address.port(), domain, state);
+                        + "\"slots\":8,\"state\":\"%s\",\"cold_remaining_ms\":0,\"born\":%d,"
+                        + "\"sequence\":1}")
+                .formatted(service, address.host(), address.port(), domain, state, mStartMark);
     }
 
     @Override
@@ -178,8 +223,12 @@
             exchange.empty(MISDIRECTED);
             return;
         }
-        if (mMode == Mode.REFUSE) {
-            exchange.with("X-Not-Executed", "1").empty(503);
+        StatedNotices notices = mNotices;
+        mArrivals.add(new Arrival(id, System.nanoTime(), notices));
+        notices.addTo(exchange);
+        if (mMode == Mode.REFUSE || notices.refusal() > 0) {
+            int status = notices.refusal() > 0 ? notices.refusal() : UNAVAILABLE;
+            exchange.with("X-Not-Executed", "1").empty(status);
             return;
         }
         mLastHeaders =
