--- a/router/src/main/java/org/magnoliaseam/cli/DecisionLog.java
+++ b/router/src/main/java/org/magnoliaseam/cli/DecisionLog.java
@@ -11,6 +11,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import org.magnoliaseam.gateway.AccountText;
 import org.magnoliaseam.model.RequestId;
 
 /** Reads decision records from a file of JSON lines. */
@@ -53,7 +54,8 @@
                                 Files.newInputStream(mFile), StandardCharsets.UTF_8))) {
             for (String line = reader.readLine(); line != null; line = reader.readLine()) {
                 JsonNode record = parse(line);
-                if (id.value().equals(record.path(REQUEST_ID).textValue())) {
+                if (id.value().equals(record.path(REQUEST_ID).textValue())
+                        || AccountText.isAccountOf(record, id.value())) {
                     found.add(record);
                 }
             }
--- a/router/src/main/java/org/magnoliaseam/cli/TextDecisionRenderer.java
+++ b/router/src/main/java/org/magnoliaseam/cli/TextDecisionRenderer.java
@@ -7,8 +7,12 @@
 import org.magnoliaseam.explain.DecisionRecord;
 import org.magnoliaseam.explain.DecisionText;
 import org.magnoliaseam.explain.RecordReader;
+import org.magnoliaseam.gateway.AccountText;
 
-/** Renders complete decision records as an explanation and incomplete ones as indented JSON. */
+/**
+ * Renders complete decision records and accounts of requests as an explanation, and incomplete
+ * records as indented JSON.
+ */
 public final class TextDecisionRenderer implements DecisionRenderer {
 
     @Override
@@ -17,7 +21,12 @@
         List<String> parts = new ArrayList<>();
         for (JsonNode decision : decisions) {
             Optional<DecisionRecord> record = RecordReader.of(decision);
-            record.ifPresentOrElse(records::add, () -> parts.add(decision.toPrettyString()));
+            record.ifPresentOrElse(
+                    records::add,
+                    () ->
+                            parts.add(
+                                    AccountText.render(decision)
+                                            .orElseGet(decision::toPrettyString)));
         }
         if (!records.isEmpty()) {
             parts.add(0, DecisionText.render(records));
--- a/router/src/main/java/org/magnoliaseam/gateway/RequestLog.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/RequestLog.java
@@ -11,6 +11,9 @@
 /** Writes the record of each request as one JSON line and updates the metrics. Thread-safe. */
 public final class RequestLog {
 
+    /** The kind of the log lines that are accounts of requests. */
+    static final String EVENT = "request";
+
     /** Writes the lines. */
     private static final Logger LOG = LogManager.getLogger("records");
 
@@ -43,7 +46,7 @@
         count(record, outcome, nowNanos);
         GatewayRequest request = record.request();
         ObjectNode line = MAPPER.createObjectNode();
-        line.put("event", "request");
+        line.put("event", EVENT);
         line.put("id", request.id().value());
         line.put("route", request.route().name());
         line.put("catalog", request.catalogVersion());
--- a/router/src/test/java/org/magnoliaseam/cli/ProgramTest.java
+++ b/router/src/test/java/org/magnoliaseam/cli/ProgramTest.java
@@ -178,6 +178,16 @@
             assertThat(mConsole.err()).contains("lines that are not decision records: 1");
         }
 
+        @Test
+        void accountOfARequestIsExplained() throws IOException {
+            Path log =
+                    log(
+                            "{\"event\":\"request\",\"id\":\"id-1\",\"outcome\":\"completed\","
+                                    + "\"steps\":[{\"ms\":1.0,\"step\":\"waiting\"}]}");
+            assertThat(run("explain", "id-1", "--log", log.toString())).isZero();
+            assertThat(mConsole.out()).contains("No backend server had room");
+        }
+
         @Test
         void unknownRequestFails() throws IOException {
             Path log = log("{\"requestId\":\"id-1\"}");
