--- a/router/src/main/java/org/magnoliaseam/gateway/RequestLog.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/RequestLog.java
@@ -49,6 +49,7 @@
         line.put("event", EVENT);
         line.put("id", request.id().value());
         line.put("route", request.route().name());
+        line.put("account", request.accountName());
         line.put("catalog", request.catalogVersion());
         line.put("priority", request.priority());
         line.put("prompt_tokens", request.prompt().tokens());
@@ -58,6 +59,10 @@
         line.put("deadline_ms", millis(request.deadlineNanos(), request));
         line.put("outcome", outcome);
         line.put("ms", millis(nowNanos, request));
+        if (record.lostAnswer()) {
+            ArrayNode parts = line.putArray("parts");
+            request.prompt().sharedParts().forEach(part -> parts.add(part.id()));
+        }
         ArrayNode steps = line.putArray("steps");
         for (RequestRecord.Step step : record.steps()) {
             ObjectNode node = steps.addObject();
--- a/router/src/main/java/org/magnoliaseam/gateway/RequestRecord.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/RequestRecord.java
@@ -81,4 +81,15 @@
     List<Step> steps() {
         return mSteps;
     }
+
+    /**
+     * Tells whether an answer was lost, as when a backend server crashes.
+     *
+     * @return true if a connection was lost or an answer ended before its end
+     */
+    boolean lostAnswer() {
+        return mSteps.stream()
+                .map(Step::kind)
+                .anyMatch(kind -> kind == StepKind.CONNECTION_LOST || kind == StepKind.INCOMPLETE);
+    }
 }
