Reproduce prompt parts that crash one engine after the other

The simulated engines crash with all their streams, also those that have begun; outcomes of requests moved to a class of their own, since the file had grown too long.

--- a/router/src/test/java/org/magnoliaseam/gateway/OverloadReplayTest.java
+++ b/router/src/test/java/org/magnoliaseam/gateway/OverloadReplayTest.java
@@ -40,7 +40,7 @@
 
     private final Random mRandom = new Random(2);
 
-    private final List<SimulatedFleet.Outcome> mOutcomes = new ArrayList<>();
+    private final List<SimulatedOutcome> mOutcomes = new ArrayList<>();
 
     private static Route route(
             String name, int priority, long timeout, long patience, long target, long pause) {
@@ -122,7 +122,7 @@
         load(REVIEW, perSecond, from, until, prompt("v", 6300, 2890, 15), "c" + from);
     }
 
-    private List<SimulatedFleet.Outcome> of(Route route, int fromMillis, int untilMillis) {
+    private List<SimulatedOutcome> of(Route route, int fromMillis, int untilMillis) {
         return mOutcomes.stream()
                 .filter(outcome -> outcome.request().route() == route)
                 .filter(outcome -> outcome.request().arrivedNanos() >= fromMillis * MILLI)
@@ -131,7 +131,7 @@
     }
 
     private static double share(
-            List<SimulatedFleet.Outcome> outcomes, Predicate<SimulatedFleet.Outcome> condition) {
+            List<SimulatedOutcome> outcomes, Predicate<SimulatedOutcome> condition) {
         return outcomes.stream().filter(condition).count() / (double) outcomes.size();
     }
 
@@ -139,7 +139,7 @@
     private double wastedShare() {
         double all = 0;
         double wasted = 0;
-        for (SimulatedFleet.Outcome outcome : mOutcomes) {
+        for (SimulatedOutcome outcome : mOutcomes) {
             all += outcome.processedTokens();
             wasted += outcome.complete() ? 0 : outcome.processedTokens();
         }
@@ -148,7 +148,7 @@
 
     private void assertThatRefusalsAreTrue() {
         assertThat(mOutcomes)
-                .filteredOn(SimulatedFleet.Outcome::refused)
+                .filteredOn(SimulatedOutcome::refused)
                 .filteredOn(outcome -> outcome.refusal().kind().executed() == Executed.NO)
                 .allSatisfy(outcome -> assertThat(outcome.runs()).isZero());
     }
@@ -168,16 +168,14 @@
         @Test
         void urgentRequestsStayInTarget() {
             play();
-            assertThat(share(of(STEPS, 3000, 8000), SimulatedFleet.Outcome::onTime))
-                    .isGreaterThan(0.95);
-            assertThat(share(of(QUERY, 3000, 8000), SimulatedFleet.Outcome::onTime))
-                    .isGreaterThan(0.9);
+            assertThat(share(of(STEPS, 3000, 8000), SimulatedOutcome::onTime)).isGreaterThan(0.95);
+            assertThat(share(of(QUERY, 3000, 8000), SimulatedOutcome::onTime)).isGreaterThan(0.9);
         }
 
         @Test
         void longPromptsAreNotStarved() {
             play();
-            assertThat(share(of(REVIEW, 3000, 8000), SimulatedFleet.Outcome::complete))
+            assertThat(share(of(REVIEW, 3000, 8000), SimulatedOutcome::complete))
                     .isGreaterThan(0.25);
         }
 
@@ -190,15 +188,14 @@
         @Test
         void refusedRequestsWereNotRun() {
             play();
-            assertThat(share(of(REVIEW, 3000, 8000), SimulatedFleet.Outcome::refused))
-                    .isGreaterThan(0);
+            assertThat(share(of(REVIEW, 3000, 8000), SimulatedOutcome::refused)).isGreaterThan(0);
             assertThatRefusalsAreTrue();
         }
 
         @Test
         void serviceIsNormalSoonAfterTheBurst() {
             play();
-            assertThat(share(of(REVIEW, 11_000, 12_000), SimulatedFleet.Outcome::onTime))
+            assertThat(share(of(REVIEW, 11_000, 12_000), SimulatedOutcome::onTime))
                     .isGreaterThan(0.9);
         }
     }
@@ -215,10 +212,8 @@
             mFleet.crash(1, 4000 * MILLI, 8000 * MILLI);
             mFleet.crash(2, 4000 * MILLI, 8000 * MILLI);
             mFleet.run(30_000 * MILLI);
-            assertThat(share(of(STEPS, 4500, 8000), SimulatedFleet.Outcome::onTime))
-                    .isGreaterThan(0.95);
-            assertThat(share(of(QUERY, 4500, 8000), SimulatedFleet.Outcome::onTime))
-                    .isGreaterThan(0.9);
+            assertThat(share(of(STEPS, 4500, 8000), SimulatedOutcome::onTime)).isGreaterThan(0.95);
+            assertThat(share(of(QUERY, 4500, 8000), SimulatedOutcome::onTime)).isGreaterThan(0.9);
             assertThatRefusalsAreTrue();
         }
     }
@@ -247,11 +242,10 @@
         void enginesThatWantNoRequestsGetFewAndUrgentRequestsStayInTarget() {
             play(40, 30);
             assertThat(mostUnwanted()).isLessThanOrEqualTo(2);
-            assertThat(share(of(STEPS, 4000, 14_000), SimulatedFleet.Outcome::onTime))
+            assertThat(share(of(STEPS, 4000, 14_000), SimulatedOutcome::onTime))
                     .isGreaterThan(0.95);
-            assertThat(share(of(QUERY, 4000, 14_000), SimulatedFleet.Outcome::onTime))
-                    .isGreaterThan(0.9);
-            assertThat(share(of(REVIEW, 4000, 14_000), SimulatedFleet.Outcome::complete))
+            assertThat(share(of(QUERY, 4000, 14_000), SimulatedOutcome::onTime)).isGreaterThan(0.9);
+            assertThat(share(of(REVIEW, 4000, 14_000), SimulatedOutcome::complete))
                     .isGreaterThan(0.25);
             assertThatRefusalsAreTrue();
         }
@@ -260,9 +254,9 @@
         void enginesThatWantNoRequestsGetFewAlsoAboveTheCapacityOfTheOthers() {
             play(60, 45);
             assertThat(mostUnwanted()).isLessThanOrEqualTo(2);
-            assertThat(share(of(STEPS, 4000, 14_000), SimulatedFleet.Outcome::onTime))
+            assertThat(share(of(STEPS, 4000, 14_000), SimulatedOutcome::onTime))
                     .isGreaterThan(0.95);
-            assertThat(share(of(REVIEW, 4000, 14_000), SimulatedFleet.Outcome::complete))
+            assertThat(share(of(REVIEW, 4000, 14_000), SimulatedOutcome::complete))
                     .isGreaterThan(0.25);
             assertThatRefusalsAreTrue();
         }
@@ -270,7 +264,7 @@
         @Test
         void serviceIsNormalSoonAfterTheLastTime() {
             play(40, 30);
-            assertThat(share(of(REVIEW, 17_000, 18_000), SimulatedFleet.Outcome::onTime))
+            assertThat(share(of(REVIEW, 17_000, 18_000), SimulatedOutcome::onTime))
                     .isGreaterThan(0.9);
         }
     }
@@ -283,7 +277,7 @@
             load(QUERY, 30, 0, 8000, prompt("q", 568, 1800, 8), "calm");
             load(QUERY, 250, 3000, 6000, prompt("h", 568, 1800, 8), "hot");
             mFleet.run(30_000 * MILLI);
-            List<SimulatedFleet.Outcome> calm =
+            List<SimulatedOutcome> calm =
                     of(QUERY, 3000, 6000).stream()
                             .filter(
                                     outcome ->
@@ -294,7 +288,7 @@
                                                     .value()
                                                     .equals("calm"))
                             .toList();
-            assertThat(share(calm, SimulatedFleet.Outcome::complete)).isGreaterThan(0.95);
+            assertThat(share(calm, SimulatedOutcome::complete)).isGreaterThan(0.95);
         }
     }
 
@@ -307,8 +301,8 @@
             queries(30, 0, 8000);
             reviews(15, 0, 8000);
             mFleet.run(30_000 * MILLI);
-            assertThat(mOutcomes).noneMatch(SimulatedFleet.Outcome::refused);
-            assertThat(share(mOutcomes, SimulatedFleet.Outcome::onTime)).isGreaterThan(0.95);
+            assertThat(mOutcomes).noneMatch(SimulatedOutcome::refused);
+            assertThat(share(mOutcomes, SimulatedOutcome::onTime)).isGreaterThan(0.95);
         }
     }
 }
--- a/router/src/test/java/org/magnoliaseam/gateway/SimulatedFleet.java
+++ b/router/src/test/java/org/magnoliaseam/gateway/SimulatedFleet.java
@@ -13,11 +13,9 @@
 import java.util.PriorityQueue;
 import java.util.Random;
 import java.util.Set;
-import java.util.concurrent.CompletableFuture;
 import org.apache.logging.log4j.Level;
 import org.apache.logging.log4j.core.config.Configurator;
 import org.magnoliaseam.backend.BackendFailure;
-import org.magnoliaseam.error.Refusal;
 import org.magnoliaseam.exchange.AnswerHead;
 import org.magnoliaseam.exchange.Cancellation;
 import org.magnoliaseam.gossip.Digest;
@@ -34,6 +32,9 @@
     /** The time of one event of a stream. */
     private static final long EVENT_NANOS = 20 * GatewayFixtures.MILLI;
 
+    /** The time for which an engine is down after a crash. */
+    private static final long DOWN_NANOS = 3_000 * GatewayFixtures.MILLI;
+
     /** The interval of digests. */
     private static final long DIGEST_NANOS = 500 * GatewayFixtures.MILLI;
 
@@ -63,7 +64,11 @@
 
     private final Map<PeerEndpoint, EnginePermits> mPermits = new HashMap<>();
 
-    private final Map<String, Outcome> mOutcomes = new HashMap<>();
+    private final Map<String, SimulatedOutcome> mOutcomes = new HashMap<>();
+
+    private final Set<String> mCrashingParts = new HashSet<>();
+
+    private final List<Long> mCrashes = new ArrayList<>();
 
     private final List<SimulatedPushback> mPushbacks = new ArrayList<>();
 
@@ -76,6 +81,7 @@
 
     /** Processes prompts one after another, in the order of their arrival. */
     private static final class Engine {
+        private final Set<Run> mStreams = new HashSet<>();
         private final Set<String> mParts = new HashSet<>();
         private final Deque<Run> mQueue = new ArrayDeque<>();
         private boolean mDown;
@@ -101,93 +107,6 @@
         }
     }
 
-    /** Observes the answer of one request. */
-    static final class Outcome implements GatewaySink {
-        private final SimulatedFleet mFleet;
-        private final GatewayRequest mRequest;
-        private long mFirstNanos = -1;
-        private long mEndNanos = -1;
-        private boolean mComplete;
-        private Refusal mRefusal;
-        private int mRuns;
-        private long mProcessedTokens;
-
-        Outcome(SimulatedFleet fleet, GatewayRequest request) {
-            mFleet = fleet;
-            mRequest = request;
-        }
-
-        boolean onTime() {
-            long target = mRequest.route().targetMillis() * GatewayFixtures.MILLI;
-            return mComplete && mFirstNanos - mRequest.arrivedNanos() <= target;
-        }
-
-        boolean complete() {
-            return mComplete;
-        }
-
-        boolean refused() {
-            return mRefusal != null;
-        }
-
-        double heldMillis() {
-            return (mEndNanos - mRequest.arrivedNanos()) / (double) GatewayFixtures.MILLI;
-        }
-
-        GatewayRequest request() {
-            return mRequest;
-        }
-
-        Refusal refusal() {
-            return mRefusal;
-        }
-
-        int runs() {
-            return mRuns;
-        }
-
-        long processedTokens() {
-            return mProcessedTokens;
-        }
-
-        @Override
-        public void head(AnswerHead head) {
-            mFirstNanos = mFleet.mNow;
-        }
-
-        @Override
-        public CompletableFuture<Void> write(ByteBuffer bytes) {
-            return CompletableFuture.completedFuture(null);
-        }
-
-        @Override
-        public void end() {
-            mComplete = true;
-            mEndNanos = mFleet.mNow;
-        }
-
-        @Override
-        public void endWith(ByteBuffer last) {
-            end();
-        }
-
-        @Override
-        public void refuse(Refusal refusal) {
-            mRefusal = refusal;
-            mEndNanos = mFleet.mNow;
-        }
-
-        @Override
-        public void refuse(Refusal refusal, long retryAfterMillis) {
-            refuse(refusal);
-        }
-
-        @Override
-        public void breakOff() {
-            mEndNanos = mFleet.mNow;
-        }
-    }
-
     SimulatedFleet(int gateways, int engines, long seed) {
         Configurator.setLevel("records", Level.OFF);
         mRandom = new Random(seed);
@@ -221,8 +140,8 @@
     }
 
     /** Schedules a request at a random gateway. */
-    Outcome request(long nanos, GatewayRequest request) {
-        Outcome outcome = new Outcome(this, request);
+    SimulatedOutcome request(long nanos, GatewayRequest request) {
+        SimulatedOutcome outcome = new SimulatedOutcome(() -> mNow, request);
         mOutcomes.put(request.id().value(), outcome);
         int vm = mRandom.nextInt(mGateways.size());
         at(nanos, () -> mGateways.get(vm).submit(request, outcome));
@@ -244,6 +163,34 @@
         at(untilNanos, () -> crashed.mDown = false);
     }
 
+    /** Makes each engine crash that begins to answer a prompt with a part. */
+    void crashOn(String part) {
+        mCrashingParts.add(part);
+    }
+
+    /** Returns the times at which engines crashed because of a part of a prompt. */
+    List<Long> crashes() {
+        return mCrashes;
+    }
+
+    private boolean crashes(Engine engine, Run run) {
+        Prompt prompt = run.mOrder.request().prompt();
+        if (prompt.sharedParts().stream().noneMatch(part -> mCrashingParts.contains(part.id()))) {
+            return false;
+        }
+        mCrashes.add(mNow);
+        engine.mDown = true;
+        engine.mParts.clear();
+        List<Run> lost = new ArrayList<>(engine.mQueue);
+        lost.addAll(engine.mStreams);
+        lost.add(run);
+        engine.mQueue.clear();
+        engine.mStreams.clear();
+        at(mNow, () -> lost.forEach(each -> each.fail(BackendFailure.CONNECTION_LOST)));
+        at(mNow + DOWN_NANOS, () -> engine.mDown = false);
+        return true;
+    }
+
     /** Makes an engine refuse requests and ask for none for a time. */
     void pushBack(int engine, long fromNanos, long untilNanos, long millis) {
         Engine refusing = mEngines.get("e" + engine);
@@ -327,7 +274,7 @@
         } else if (engine.mPushback != null) {
             pushBack(engine.mPushback, vm, run);
         } else {
-            mOutcomes.get(order.request().id().value()).mRuns++;
+            mOutcomes.get(order.request().id().value()).sent();
             engine.mQueue.add(run);
             if (engine.mQueue.size() == 1) {
                 process(engine);
@@ -350,20 +297,23 @@
         for (PromptPart part : prompt.sharedParts()) {
             tokens -= engine.mParts.add(part.id()) ? 0 : part.tokens();
         }
-        mOutcomes.get(run.mOrder.request().id().value()).mProcessedTokens += tokens;
+        mOutcomes.get(run.mOrder.request().id().value()).processed(tokens);
         at(
                 mNow + (long) (tokens / TOKENS_PER_MILLI * GatewayFixtures.MILLI),
                 () -> {
                     if (engine.mQueue.peek() == run) {
                         engine.mQueue.remove();
-                        process(engine);
-                        begin(engine, run);
+                        if (run.mEnded || !crashes(engine, run)) {
+                            process(engine);
+                            begin(engine, run);
+                        }
                     }
                 });
     }
 
     private void begin(Engine engine, Run run) {
         if (!run.mEnded) {
+            engine.mStreams.add(run);
             run.mListener.head(new AnswerHead(200, List.of()));
             event(engine, run, 1);
         }
@@ -382,6 +332,7 @@
             at(mNow + EVENT_NANOS, () -> event(engine, run, id + 1));
         } else {
             run.mEnded = true;
+            engine.mStreams.remove(run);
             run.mListener.ended();
         }
     }
