--- a/router/src/main/java/org/magnoliaseam/error/ErrorKind.java
+++ b/router/src/main/java/org/magnoliaseam/error/ErrorKind.java
@@ -46,9 +46,12 @@
             Executed.NO,
             1,
             "Every backend server tried refused the request before starting it."),
-    /** The same request was running when backend servers crashed. */
+    /** The same request, or a part of its prompt, was running when backend servers crashed. */
     CRASHING_REQUEST(
-            422, Executed.NO, 60, "The same request was running when backend servers crashed."),
+            422,
+            Executed.NO,
+            60,
+            "The same request, or a part of its prompt, was running when backend servers crashed."),
     /** A request that may not be repeated needs a ticket; the answer holds one. */
     TICKET_REQUIRED(
             428,
--- a/router/src/main/java/org/magnoliaseam/gateway/AttemptHistory.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/AttemptHistory.java
@@ -3,6 +3,8 @@
 import java.util.HashSet;
 import java.util.Set;
 import org.magnoliaseam.catalog.Route;
+import org.magnoliaseam.error.ErrorKind;
+import org.magnoliaseam.error.Executed;
 import org.magnoliaseam.model.BackendServerId;
 
 /** Counts and limits the attempts of one request. Not thread-safe. */
@@ -62,6 +64,18 @@
         return mPossibleRuns > 0;
     }
 
+    /**
+     * Returns the error kind that callers are told.
+     *
+     * @param kind why the request ends
+     * @return one that does not claim that the request has not run if it may have
+     */
+    ErrorKind reported(ErrorKind kind) {
+        return mayHaveBeenExecuted() && kind.executed() == Executed.NO
+                ? ErrorKind.BACKEND_FAILED
+                : kind;
+    }
+
     /**
      * Tells whether the route allows another attempt.
      *
--- /dev/null
+++ b/router/src/main/java/org/magnoliaseam/gateway/AttemptProgress.java
@@ -0,0 +1,135 @@
+package org.magnoliaseam.gateway;
+
+import org.magnoliaseam.catalog.Route;
+
+/** Tracks the arrival of the answer of one attempt. Written by one thread at a time. */
+final class AttemptProgress {
+
+    /**
+     * The time without an answer, as a multiple of the target, after which an attempt is given up.
+     */
+    private static final double ANSWER_TIMEOUT_FACTOR = 2.5;
+
+    /** The pause, as a multiple of the target, after which a stream is given up. */
+    private static final double PAUSE_TIMEOUT_FACTOR = 6;
+
+    /**
+     * The shortest time without an answer or event after which an attempt is given up, in
+     * milliseconds.
+     */
+    private static final double MIN_TIMEOUT_MILLIS = 250;
+
+    /**
+     * The time after the first event for which a backend server must continue before the request
+     * counts as harmless, in milliseconds.
+     */
+    private static final double SURVIVAL_MILLIS = 250;
+
+    /** The number of nanoseconds in a millisecond. */
+    private static final double NANOS_PER_MILLI = 1e6;
+
+    /** The route of the request. */
+    private final Route mRoute;
+
+    /** The local monotonic time of the start or the last event. */
+    private volatile long mLastNanos;
+
+    /** The local monotonic time of the first event. */
+    private volatile long mFirstNanos;
+
+    /** Whether the first event has been received, so that the prompt has been processed. */
+    private volatile boolean mBegun;
+
+    /** Whether the request has not crashed its backend server. */
+    private volatile boolean mSurvived;
+
+    /**
+     * Creates the progress of an attempt that starts.
+     *
+     * @param route the route of the request
+     * @param nowNanos the local monotonic time
+     */
+    AttemptProgress(Route route, long nowNanos) {
+        mRoute = route;
+        mLastNanos = nowNanos;
+    }
+
+    /**
+     * Records that the request is sent.
+     *
+     * @param nowNanos the local monotonic time
+     */
+    void sent(long nowNanos) {
+        mLastNanos = nowNanos;
+    }
+
+    /**
+     * Records the arrival of events.
+     *
+     * @param nowNanos the local monotonic time
+     * @return the time since the start or the event before, in nanoseconds
+     */
+    long event(long nowNanos) {
+        if (!mBegun) {
+            mBegun = true;
+            mFirstNanos = nowNanos;
+        }
+        long pause = nowNanos - mLastNanos;
+        mLastNanos = nowNanos;
+        return pause;
+    }
+
+    /**
+     * Tells whether the first event has been received.
+     *
+     * @return true if the prompt has been processed
+     */
+    boolean begun() {
+        return mBegun;
+    }
+
+    /**
+     * Tells whether so much of the answer has arrived that the request counts as harmless.
+     *
+     * @param nowNanos the local monotonic time
+     * @return true if the backend server has continued for long enough
+     */
+    boolean lasts(long nowNanos) {
+        return mBegun && (nowNanos - mFirstNanos) / NANOS_PER_MILLI > SURVIVAL_MILLIS;
+    }
+
+    /**
+     * Records that the request has not crashed its backend server.
+     *
+     * @return true the first time
+     */
+    boolean survive() {
+        boolean first = !mSurvived;
+        mSurvived = true;
+        return first;
+    }
+
+    /**
+     * Tells whether the request has not crashed its backend server.
+     *
+     * @return true once enough of the answer has arrived
+     */
+    boolean survived() {
+        return mSurvived;
+    }
+
+    /**
+     * Tells whether the backend server has been silent for too long.
+     *
+     * @param nowNanos the local monotonic time
+     * @return true if another backend server should get the request
+     */
+    boolean silent(long nowNanos) {
+        double limit =
+                mBegun
+                        ? PAUSE_TIMEOUT_FACTOR * mRoute.pauseTargetMillis()
+                        : ANSWER_TIMEOUT_FACTOR * mRoute.targetMillis();
+        double timeoutMillis = Math.max(MIN_TIMEOUT_MILLIS, limit);
+        return (nowNanos - mLastNanos) / NANOS_PER_MILLI > timeoutMillis;
+    }
+}
--- a/router/src/main/java/org/magnoliaseam/gateway/CallAnswer.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/CallAnswer.java
@@ -66,11 +66,19 @@
      *
      * @param events the bytes of the events
      * @param lastId the id of the last of them; empty if it has none
+     * @param onGone called if the caller has disconnected
      * @return completes when the caller has room for more
      */
-    CompletableFuture<Void> events(ByteBuffer events, String lastId) {
+    CompletableFuture<Void> events(ByteBuffer events, String lastId, Runnable onGone) {
         mLastEventId = lastId.isEmpty() ? mLastEventId : lastId;
-        return mSink.write(events);
+        CompletableFuture<Void> written = mSink.write(events);
+        written.whenComplete(
+                (ignored, failure) -> {
+                    if (failure != null) {
+                        onGone.run();
+                    }
+                });
+        return written;
     }
 
     /**
--- a/router/src/main/java/org/magnoliaseam/gateway/CallPlacement.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/CallPlacement.java
@@ -113,6 +113,9 @@
      * @return false if the request has to be refused
      */
     boolean begin() {
+        if (isRefused()) {
+            return false;
+        }
         mParts.pool().firstTry(mCall.request());
         mParts.waiting().arrived(mCall.request());
         if (!mParts.waiting().mustWait(mCall.request())) {
@@ -128,6 +131,9 @@
      * @return false if the request has to be refused
      */
     boolean place() {
+        if (isRefused()) {
+            return false;
+        }
         ServerChoice choice =
                 mParts.pool().choose(mCall.request(), mHistory.excluded(), mWait.isPatient());
         if (choice instanceof ServerChoice.Wait wait) {
@@ -145,6 +151,29 @@
         return true;
     }
 
+    /**
+     * Tells whether the request is refused since it crashes backend servers.
+     *
+     * @return true if it must not be sent
+     */
+    private boolean isRefused() {
+        boolean refused = mParts.pool().crashes().refuses(mCall.request());
+        if (refused) {
+            mWait.refuseAsCrashing();
+        }
+        return refused;
+    }
+
+    /**
+     * Tells whether the request, which waits or has no answer yet, must not run since it was found
+     * meanwhile that it crashes backend servers.
+     *
+     * @return true if it has to end
+     */
+    boolean foundCrashing() {
+        return (mAttempt == null || !mAttempt.hasSurvived()) && isRefused();
+    }
+
     /**
      * Tries to start the request if it waits.
      *
--- a/router/src/main/java/org/magnoliaseam/gateway/CallWait.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/CallWait.java
@@ -3,6 +3,7 @@
 import org.magnoliaseam.error.ErrorKind;
 import org.magnoliaseam.membership.StableHash;
 import org.magnoliaseam.placement.RefusalRule;
+import org.magnoliaseam.suspect.CrashRecords;
 
 /**
  * Tracks whether a request waits for a backend server, and decides when it is refused. Guarded by
@@ -54,6 +55,9 @@
     /** The error kind of the latest wait, used if the request is refused. */
     private ErrorKind mKind = ErrorKind.OVERLOADED;
 
+    /** Whether the request waits since it must not run beside another guarded one. */
+    private boolean mGuarded;
+
     /** The predicted time from the start to the first event or the answer, in milliseconds. */
     private double mServiceMillis;
 
@@ -104,17 +108,18 @@
     boolean await(GatewayCall call, ServerChoice.Wait wait) {
         mKind = wait.kind();
         mSelective = wait.selective();
+        mGuarded = wait.guarded();
         mNotBeforeNanos = wait.notBeforeNanos();
         if (mWaiting) {
             return mSelective || !expired();
         }
         mServiceMillis = mParts.pool().fastestAnswerMillis(mRequest);
-        if (!mSelective && isHopeless(mParts.waiting().forecastMillis(mRequest))) {
+        if (!mSelective && !mGuarded && isHopeless(mParts.waiting().forecastMillis(mRequest))) {
             return false;
         }
         mWaiting = true;
         mRecord.add(StepKind.WAITING, "", describe(wait), mParts.clock().nanos());
-        mParts.waiting().add(call, mSelective);
+        mParts.waiting().add(call, mSelective || mGuarded);
         return true;
     }
 
@@ -127,6 +132,7 @@
     private String describe(ServerChoice.Wait wait) {
         return wait.kind().text()
                 + (wait.selective() ? " for=cache" : "")
+                + (wait.guarded() ? " guarded=true" : "")
                 + (wait.pushedBack() > 0
                         ? " pushed_back="
                                 + wait.pushedBack()
@@ -159,11 +165,16 @@
         if (!mWaiting) {
             return WaitingCalls.Attempted.STARTED;
         }
-        return unrestricted && !mSelective && mKind == ErrorKind.OVERLOADED
+        return unrestricted && !mSelective && !mGuarded && mKind == ErrorKind.OVERLOADED
                 ? WaitingCalls.Attempted.NO_ROOM
                 : WaitingCalls.Attempted.RESTRICTED;
     }
 
+    /** Records that the request is refused since it crashes backend servers. */
+    void refuseAsCrashing() {
+        mKind = ErrorKind.CRASHING_REQUEST;
+    }
+
     /**
      * Returns the error kind of the latest wait.
      *
@@ -200,6 +211,9 @@
      * @return the delay in milliseconds; 0 if no time is left
      */
     long retryAfterMillis() {
+        if (mKind == ErrorKind.CRASHING_REQUEST) {
+            return CrashRecords.QUIET_MILLIS;
+        }
         double remaining = (mRequest.deadlineNanos() - mParts.clock().nanos()) / NANOS_PER_MILLI;
         double draw = StableHash.draw(mRequest.id().value(), SPREAD_SEED);
         double forecast = mParts.waiting().forecastMillis(mRequest);
--- /dev/null
+++ b/router/src/main/java/org/magnoliaseam/gateway/CrashGuard.java
@@ -0,0 +1,306 @@
+package org.magnoliaseam.gateway;
+
+import java.util.Collections;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.magnoliaseam.leaving.ServerIncarnation;
+import org.magnoliaseam.membership.StableHash;
+import org.magnoliaseam.model.BackendServerId;
+import org.magnoliaseam.suspect.AnswerNotice;
+import org.magnoliaseam.suspect.CrashCause;
+import org.magnoliaseam.suspect.CrashNews;
+import org.magnoliaseam.suspect.CrashNotice;
+import org.magnoliaseam.suspect.CrashRecords;
+import org.magnoliaseam.suspect.RequestMark;
+import org.magnoliaseam.suspect.SuspectVerdict;
+import org.magnoliaseam.time.MonotonicClock;
+
+/**
+ * Protects backend servers from requests that crash them: isolates requests that may, refuses those
+ * that do, and exchanges what is known with the other entry VMs. Thread-safe.
+ */
+public final class CrashGuard {
+
+    /** The largest number of prompt parts of a request that are considered, the last ones. */
+    private static final int MAX_PARTS = 15;
+
+    /** Selects the hash of starts of backend servers. */
+    private static final int SERVER_SEED = 5;
+
+    /** The crashes and the answers since. */
+    private final CrashRecords mRecords = new CrashRecords();
+
+    /** What the other entry VMs are told. */
+    private final CrashReports mReports;
+
+    /** Logs and counts crashes and their causes. */
+    private final CrashLog mLog = new CrashLog();
+
+    /** The marks of the guarded attempts in progress, by backend server. */
+    private final Map<BackendServerId, Set<RequestMark>> mRunning = new HashMap<>();
+
+    /** The clock. */
+    private final MonotonicClock mClock;
+
+    /**
+     * Creates a guard that knows of no crash.
+     *
+     * @param clock the clock
+     */
+    CrashGuard(MonotonicClock clock) {
+        mClock = clock;
+        mReports = new CrashReports(mRecords, clock.nanos());
+    }
+
+    /**
+     * Returns the log.
+     *
+     * @return the counts of crashes and causes
+     */
+    public CrashLog log() {
+        return mLog;
+    }
+
+    /**
+     * Returns the marks of a request. The mark of the whole request is left out unless it may have
+     * crashed a backend server, since it takes the whole body to compute.
+     *
+     * @param request the request
+     * @return the marks
+     */
+    private Set<RequestMark> marks(GatewayRequest request) {
+        Set<RequestMark> marks = partMarks(request);
+        String account = request.accountName();
+        String target = target(request);
+        if (mRecords.candidates().stream()
+                .anyMatch(mark -> mark.mayBe(account, target, request.body()))) {
+            marks.add(RequestMark.ofRequest(account, target, request.body()));
+        }
+        return marks;
+    }
+
+    /**
+     * Returns the marks of the shared prompt parts of a request.
+     *
+     * @param request the request
+     * @return the marks
+     */
+    private static Set<RequestMark> partMarks(GatewayRequest request) {
+        List<PromptPart> parts = request.prompt().sharedParts();
+        Set<RequestMark> marks = new HashSet<>();
+        for (PromptPart part : parts.subList(Math.max(0, parts.size() - MAX_PARTS), parts.size())) {
+            marks.add(RequestMark.ofPart(request.service().name().value(), part.id()));
+        }
+        return marks;
+    }
+
+    /**
+     * Returns what a request calls.
+     *
+     * @param request the request
+     * @return method and path
+     */
+    private static String target(GatewayRequest request) {
+        return request.method() + " " + request.target();
+    }
+
+    /**
+     * Tells whether a request may crash a backend server and must not run beside another such one.
+     *
+     * @param request the request
+     * @return true if it is guarded
+     */
+    synchronized boolean guards(GatewayRequest request) {
+        return !mRecords.isEmpty()
+                && mRecords.verdict(marks(request), mClock.nanos()) == SuspectVerdict.GUARDED;
+    }
+
+    /**
+     * Tells whether a request is refused since it crashes backend servers. If so, the cause stays
+     * in force.
+     *
+     * @param request the request
+     * @return true if it must not be sent
+     */
+    synchronized boolean refuses(GatewayRequest request) {
+        if (mRecords.isEmpty()) {
+            return false;
+        }
+        long now = mClock.nanos();
+        Optional<CrashCause> cause = mRecords.cause(marks(request), now);
+        cause.ifPresent(
+                found -> {
+                    mRecords.used(found, now);
+                    mLog.countRefusal();
+                });
+        return cause.isPresent();
+    }
+
+    /**
+     * Selects the backend servers that may get a guarded request: those that run no other one of
+     * this entry VM, and none while a request with a mark in common runs.
+     *
+     * @param request the request
+     * @param candidates the backend servers with a free slot
+     * @return the backend servers
+     */
+    synchronized List<BackendServerState> isolated(
+            GatewayRequest request, List<BackendServerState> candidates) {
+        Set<RequestMark> marks = marks(request);
+        boolean runs =
+                mRunning.values().stream().anyMatch(other -> !Collections.disjoint(other, marks));
+        return runs
+                ? List.of()
+                : candidates.stream().filter(state -> !mRunning.containsKey(state.id())).toList();
+    }
+
+    /**
+     * Records the start of a guarded attempt.
+     *
+     * @param server the backend server
+     * @param request the request
+     */
+    synchronized void started(BackendServerId server, GatewayRequest request) {
+        Set<RequestMark> guarded = marks(request);
+        guarded.removeIf(mark -> !mRecords.isGuarded(mark));
+        mRunning.put(server, guarded);
+    }
+
+    /**
+     * Records the end of a guarded attempt, or that it has been answered.
+     *
+     * @param server the backend server
+     */
+    synchronized void ended(BackendServerId server) {
+        mRunning.remove(server);
+    }
+
+    /**
+     * Records that a backend server may have crashed while it had a request unanswered.
+     *
+     * @param server the start of the backend server
+     * @param request the request
+     * @param sentNanos the local monotonic time at which it was sent
+     */
+    synchronized void lost(ServerIncarnation server, GatewayRequest request, long sentNanos) {
+        Set<RequestMark> marks = partMarks(request);
+        marks.add(RequestMark.ofRequest(request.accountName(), target(request), request.body()));
+        long now = mClock.nanos();
+        long hash = hash(server);
+        Set<RequestMark> recorded = mRecords.crashed(hash, now, sentNanos, marks);
+        if (!recorded.isEmpty()) {
+            mReports.crashed(hash, recorded);
+            mLog.lost(server, request.id(), recorded.size());
+            mLog.crashed(hash);
+            mLog.update(mRecords, now);
+        }
+    }
+
+    /**
+     * Records an answer, or so much of one that the request has not crashed its backend server.
+     *
+     * @param request the request
+     */
+    synchronized void answered(GatewayRequest request) {
+        long now = mClock.nanos();
+        boolean changed = false;
+        for (RequestMark mark : marks(request)) {
+            if (mRecords.answered(mark, now)) {
+                mReports.answered(mark);
+                changed = true;
+            }
+        }
+        if (changed) {
+            mLog.update(mRecords, now);
+        }
+    }
+
+    /**
+     * Records that a backend server continues an answer.
+     *
+     * @param server the start of the backend server
+     * @param sentNanos the local monotonic time at which the request was sent
+     */
+    synchronized void answers(ServerIncarnation server, long sentNanos) {
+        long now = mClock.nanos();
+        if (!mRecords.isEmpty() && mRecords.answers(hash(server), sentNanos, now)) {
+            mReports.survived(hash(server));
+            mLog.survived(server);
+            mLog.update(mRecords, now);
+        }
+    }
+
+    /**
+     * Returns the notices for the next digest.
+     *
+     * @param digests the number of digests that include each notice
+     * @return the notices
+     */
+    synchronized CrashNews news(int digests) {
+        long now = mClock.nanos();
+        if (!mRecords.isEmpty() && mReports.renew(now)) {
+            mRecords.expire(now);
+            mLog.update(mRecords, now);
+        }
+        return mReports.next(digests, now);
+    }
+
+    /**
+     * Records the notices of another entry VM, and passes on those that are new.
+     *
+     * @param news the notices
+     */
+    synchronized void heard(CrashNews news) {
+        if (news.isEmpty()) {
+            return;
+        }
+        long now = mClock.nanos();
+        for (long survivor : news.survivors()) {
+            if (mRecords.survived(survivor)) {
+                mReports.survived(survivor);
+            }
+        }
+        for (AnswerNotice answer : news.answers()) {
+            if (mRecords.heard(answer, now)) {
+                mReports.answered(answer.mark());
+            }
+        }
+        news.crashes().forEach(crash -> heard(crash, now));
+        mLog.update(mRecords, now);
+    }
+
+    /**
+     * Records the notice of a crash. If a request with one of its marks was answered here, the
+     * other entry VMs are told.
+     *
+     * @param notice the notice
+     * @param now the local monotonic time
+     */
+    private void heard(CrashNotice notice, long now) {
+        Set<RequestMark> recorded = mRecords.heard(notice, now);
+        if (recorded.isEmpty()) {
+            return;
+        }
+        mReports.crashed(notice.server(), recorded);
+        mLog.crashed(notice.server());
+        for (RequestMark mark : notice.marks()) {
+            if (mRecords.answer(mark, now).isPresent()) {
+                mReports.answered(mark);
+            }
+        }
+    }
+
+    /**
+     * Identifies the start of a backend server in a few bytes.
+     *
+     * @param server the start of the backend server
+     * @return a hash that is the same on all entry VMs
+     */
+    private static long hash(ServerIncarnation server) {
+        return StableHash.of(server.id().value() + " " + server.startMark(), SERVER_SEED);
+    }
+}
--- a/router/src/main/java/org/magnoliaseam/gateway/GatewayAttempt.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/GatewayAttempt.java
@@ -15,20 +15,6 @@
 /** Tracks one attempt at a backend server and checks that its answer is complete. */
 final class GatewayAttempt implements AttemptListener {
 
-    /**
-     * The time without an answer, as a multiple of the target, after which an attempt is given up.
-     */
-    private static final double ANSWER_TIMEOUT_FACTOR = 2.5;
-
-    /** The pause, as a multiple of the target, after which a stream is given up. */
-    private static final double PAUSE_TIMEOUT_FACTOR = 6;
-
-    /**
-     * The shortest time without an answer or event after which an attempt is given up, in
-     * milliseconds.
-     */
-    private static final double MIN_TIMEOUT_MILLIS = 250;
-
     /** The number of nanoseconds in a millisecond. */
     private static final double NANOS_PER_MILLI = 1e6;
 
@@ -56,6 +42,9 @@
     /** The body of an answer that is not a stream. */
     private final BodyBuffer mBody = new BodyBuffer();
 
+    /** The arrival of the answer. */
+    private final AttemptProgress mProgress;
+
     /** Cancels the exchange; null before it has started. */
     private Cancellation mCancellation;
 
@@ -65,9 +54,6 @@
     /** Whether the answer is a stream of events. */
     private boolean mStreamed;
 
-    /** Whether the first event has been received, so that the prompt has been processed. */
-    private boolean mPromptProcessed;
-
     /** Whether the attempt has ended. */
     private boolean mEnded;
 
@@ -77,9 +63,6 @@
     /** Whether the backend server asked for no requests for a time. */
     private volatile boolean mPushedBack;
 
-    /** The local monotonic time of the start or the last event. */
-    private volatile long mProgressNanos;
-
     /** Whether no other prompt waited at the engine when the permit was granted. */
     private volatile boolean mIdle;
 
@@ -98,7 +81,7 @@
         mOrder = order;
         mFeedback = parts.pool().feedback(start, order.request());
         mPermit = parts.permits().nextId();
-        mProgressNanos = parts.clock().nanos();
+        mProgress = new AttemptProgress(order.request().route(), parts.clock().nanos());
     }
 
     /** Asks for the permit of an engine and sends the request. */
@@ -159,7 +142,7 @@
 
     /** Sends the request. */
     private void send() {
-        mProgressNanos = mParts.clock().nanos();
+        mProgress.sent(mParts.clock().nanos());
         Cancellation cancellation = mParts.port().start(mOrder, this);
         boolean alreadyGivenUp;
         synchronized (this) {
@@ -226,13 +209,7 @@
      * @return true if another backend server should get the request
      */
     boolean silent(long nowNanos) {
-        boolean promptProcessed = mPromptProcessed;
-        double limit =
-                promptProcessed
-                        ? PAUSE_TIMEOUT_FACTOR * mOrder.request().route().pauseTargetMillis()
-                        : ANSWER_TIMEOUT_FACTOR * mOrder.request().route().targetMillis();
-        double timeoutMillis = Math.max(MIN_TIMEOUT_MILLIS, limit);
-        return (nowNanos - mProgressNanos) / NANOS_PER_MILLI > timeoutMillis;
+        return mProgress.silent(nowNanos);
     }
 
     @Override
@@ -323,6 +300,7 @@
         if (!markEnded()) {
             return;
         }
+        survived();
         if (mPushedBack) {
             mFeedback.ended();
         } else if (mHead.status() >= 500) {
@@ -343,6 +321,9 @@
         if (!markEnded()) {
             return;
         }
+        if (!mGivenUp && !mProgress.survived() && mayBeCrash(failure)) {
+            mFeedback.lost();
+        }
         boolean cancelledHere = mGivenUp && failure == BackendFailure.INCOMPLETE;
         if (mPushedBack || cancelledHere && !silent(mParts.clock().nanos())) {
             mFeedback.ended();
@@ -353,20 +334,48 @@
         mParts.waiting().drain();
     }
 
+    /**
+     * Tells whether a failure may be the crash of the backend server.
+     *
+     * @param failure the failure
+     * @return true if the connection was lost, or the answer ended with it before its end
+     */
+    private static boolean mayBeCrash(BackendFailure failure) {
+        return failure.mayBeCrash() || failure == BackendFailure.INCOMPLETE;
+    }
+
+    /** Records that the request has not crashed its backend server. */
+    private void survived() {
+        if (mProgress.survive()) {
+            mFeedback.survived();
+        }
+    }
+
+    /**
+     * Tells whether the request has not crashed its backend server.
+     *
+     * @return true once enough of the answer has arrived
+     */
+    boolean hasSurvived() {
+        return mProgress.survived();
+    }
+
     /** Records the arrival of events. */
     private void recordProgress() {
+        mFeedback.progressed();
+        boolean first = !mProgress.begun();
         long now = mParts.clock().nanos();
-        if (!mPromptProcessed) {
-            mPromptProcessed = true;
-            double millis =
-                    mIdle && mStart.measurable() ? (now - mProgressNanos) / NANOS_PER_MILLI : 0;
-            mFeedback.promptProcessed(millis);
+        long nanos = mProgress.event(now);
+        if (first) {
+            mFeedback.promptProcessed(mIdle && mStart.measurable() ? nanos / NANOS_PER_MILLI : 0);
             mParts.permits().done(claim());
             mParts.waiting().drain();
         } else {
-            mCall.paused(now - mProgressNanos);
+            mCall.paused(nanos);
+        }
+        if (mProgress.lasts(now)) {
+            survived();
         }
-        mProgressNanos = now;
     }
 
     /**
@@ -379,7 +388,7 @@
             return false;
         }
         mEnded = true;
-        if (!mPromptProcessed) {
+        if (!mProgress.begun()) {
             mFeedback.promptProcessed(0);
             mParts.permits().done(claim());
         }
--- a/router/src/main/java/org/magnoliaseam/gateway/GatewayCall.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/GatewayCall.java
@@ -7,7 +7,6 @@
 import java.util.function.Consumer;
 import org.magnoliaseam.backend.BackendFailure;
 import org.magnoliaseam.error.ErrorKind;
-import org.magnoliaseam.error.Executed;
 import org.magnoliaseam.error.Refusal;
 import org.magnoliaseam.exchange.AnswerHead;
 
@@ -117,6 +116,8 @@
         long now = mParts.clock().nanos();
         if (now - mRequest.deadlineNanos() >= 0) {
             expire();
+        } else if (mPlacement.foundCrashing()) {
+            giveUpAs(ErrorKind.CRASHING_REQUEST);
         } else if (mPlacement.attempt() == null) {
             if (mPlacement.waiting().expired()) {
                 fail(mPlacement.waiting().kind());
@@ -232,14 +233,7 @@
                         record(StepKind.FIRST_EVENT, from, "");
                         mAnswer.begin(head);
                     }
-                    written.set(mAnswer.events(events, lastId));
-                    written.get()
-                            .whenComplete(
-                                    (ignored, failure) -> {
-                                        if (failure != null) {
-                                            callerGone();
-                                        }
-                                    });
+                    written.set(mAnswer.events(events, lastId, this::callerGone));
                 });
         return written.get();
     }
@@ -294,11 +288,11 @@
         }
         if (failure.mayHaveRun() && !mRequest.route().idempotent()) {
             fail(failure.errorKind());
+        } else if (mPlacement.foundCrashing()) {
+            fail(ErrorKind.CRASHING_REQUEST);
         } else if (!mPlacement.mayRepeat(failure)) {
-            fail(
-                    mPlacement.history().mayHaveBeenExecuted()
-                            ? failure.errorKind()
-                            : ErrorKind.BACKEND_REFUSED);
+            boolean ran = mPlacement.history().mayHaveBeenExecuted();
+            fail(ran ? failure.errorKind() : ErrorKind.BACKEND_REFUSED);
         } else {
             mPlacement.waiting().restart(mAnswer.begun());
             refuseUnless(mPlacement.place());
@@ -352,14 +346,21 @@
 
     /** Ends the request at its deadline. */
     private void expire() {
+        boolean ran = mPlacement.attempt() != null || mPlacement.history().mayHaveBeenExecuted();
+        giveUpAs(ran ? ErrorKind.BACKEND_TIMEOUT : mPlacement.waiting().kind());
+    }
+
+    /**
+     * Gives up the attempt in progress, if there is one, and ends the request.
+     *
+     * @param kind the error kind
+     */
+    private void giveUpAs(ErrorKind kind) {
         if (mPlacement.attempt() != null) {
             mPlacement.history().countPossibleRun();
         }
         giveUpRunning();
-        fail(
-                mPlacement.history().mayHaveBeenExecuted()
-                        ? ErrorKind.BACKEND_TIMEOUT
-                        : mPlacement.waiting().kind());
+        fail(kind);
     }
 
     /**
@@ -368,9 +369,8 @@
      * @param kind the error kind
      */
     private void fail(ErrorKind kind) {
+        ErrorKind reported = mPlacement.history().reported(kind);
         boolean ran = mPlacement.history().mayHaveBeenExecuted();
-        ErrorKind reported =
-                ran && kind.executed() == Executed.NO ? ErrorKind.BACKEND_FAILED : kind;
         mAnswer.fail(Refusal.of(reported), ran ? 0 : mPlacement.waiting().retryAfterMillis());
         end((mAnswer.begun() ? "broken_off_" : "refused_") + reported.text());
     }
--- a/router/src/main/java/org/magnoliaseam/gateway/PoolGossip.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/PoolGossip.java
@@ -9,6 +9,7 @@
 import org.magnoliaseam.gossip.PeerEndpoint;
 import org.magnoliaseam.gossip.ServerLoad;
 import org.magnoliaseam.leaving.ServerIncarnation;
+import org.magnoliaseam.suspect.CrashNews;
 
 /** Reports the state of the server pool to the other entry VMs, and receives theirs. */
 public final class PoolGossip implements GossipListener {
@@ -55,6 +56,11 @@
         return mPool.recentlyLeaving(digests);
     }
 
+    @Override
+    public CrashNews crashes(int digests) {
+        return mPool.crashes().news(digests);
+    }
+
     @Override
     public void heard(PeerEndpoint peer, Digest digest) {
         mPublished.heard(digest.publishedRevision());
--- /dev/null
+++ b/router/src/main/java/org/magnoliaseam/gateway/ServerCandidates.java
@@ -0,0 +1,96 @@
+package org.magnoliaseam.gateway;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import org.magnoliaseam.model.BackendServerId;
+
+/**
+ * Selects the backend servers that may run a request, by slots, cold starts, ejections and the
+ * times for which they want no requests. Guarded by the lock of the server pool.
+ */
+final class ServerCandidates {
+
+    /** Decides which backend servers have room. */
+    private final ServerRoom mRoom;
+
+    /** Divides limits that apply to all entry VMs together. */
+    private final VmShares mShares;
+
+    /**
+     * Creates the selection.
+     *
+     * @param room decides which backend servers have room
+     * @param shares divides limits that apply to all entry VMs together
+     */
+    ServerCandidates(ServerRoom room, VmShares shares) {
+        mRoom = room;
+        mShares = shares;
+    }
+
+    /**
+     * Selects the backend servers that may run a request now. Ejected ones are used only if there
+     * is no other that will take the request before its deadline.
+     *
+     * @param request the request
+     * @param present the backend servers of the service that are in service
+     * @param excluded the backend servers that get no further attempt of the request
+     * @param now the local monotonic time
+     * @return the backend servers that have a free slot
+     */
+    List<BackendServerState> of(
+            GatewayRequest request,
+            List<BackendServerState> present,
+            Set<BackendServerId> excluded,
+            long now) {
+        List<BackendServerState> healthy = new ArrayList<>(present.size());
+        List<BackendServerState> ejected = new ArrayList<>();
+        boolean anyHealthy = false;
+        for (BackendServerState state : present) {
+            if (excluded.contains(state.id()) || !state.admits(request.service(), mShares, now)) {
+                continue;
+            }
+            boolean sound = !state.failures().ejected(state.running(), now);
+            long until = state.pushback().untilNanos(now);
+            anyHealthy |= sound && (until == now || until - request.deadlineNanos() < 0);
+            if (mRoom.hasSlot(state, now) && state.pushback().admits(now)) {
+                (sound ? healthy : ejected).add(state);
+            }
+        }
+        return anyHealthy ? healthy : ejected;
+    }
+
+    /**
+     * Counts the backend servers that want no requests at the moment.
+     *
+     * @param present the backend servers of the service that are in service
+     * @param now the local monotonic time
+     * @return the number of backend servers
+     */
+    static int pushedBack(List<BackendServerState> present, long now) {
+        int count = 0;
+        for (BackendServerState state : present) {
+            count += state.pushback().isActive(now) ? 1 : 0;
+        }
+        return count;
+    }
+
+    /**
+     * Returns the time before which no backend server takes a request of a service.
+     *
+     * @param present the backend servers of the service that are in service
+     * @param excluded the backend servers that get no further attempt of the request
+     * @param now the local monotonic time
+     * @return the earliest end of the times for which they want no requests; now if one of them may
+     *     take it at any moment, or if there is none
+     */
+    static long notBefore(
+            List<BackendServerState> present, Set<BackendServerId> excluded, long now) {
+        return present.stream()
+                        .filter(state -> !excluded.contains(state.id()))
+                        .mapToLong(state -> state.pushback().untilNanos(now) - now)
+                        .min()
+                        .orElse(0)
+                + now;
+    }
+}
--- a/router/src/main/java/org/magnoliaseam/gateway/ServerChoice.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/ServerChoice.java
@@ -16,6 +16,7 @@
      * @param pushbacks the number of times that the backend server has asked for no requests
      * @param measurable whether the time to the first event measures the processing speed: no other
      *     prompt waited there, and the shared parts were cached there, as far as is known
+     * @param guarded whether the request is kept from other guarded ones
      * @param reason the inputs of the decision, for the log
      */
     record Start(
@@ -25,6 +26,7 @@
             ServerRoom.Limits limits,
             int pushbacks,
             boolean measurable,
+            boolean guarded,
             String reason)
             implements ServerChoice {}
 
@@ -34,10 +36,13 @@
      * @param kind the error kind if no backend server has room in time
      * @param selective whether others have room, but waiting for the engine that caches the prompt
      *     costs less than processing the prompt again
+     * @param guarded whether others have room, but the request must not run beside another guarded
+     *     one
      * @param notBeforeNanos the local monotonic time before which no backend server takes the
      *     request, because all of them have asked for no requests; now if there is none
      * @param pushedBack the number of backend servers that want no requests at the moment
      */
-    record Wait(ErrorKind kind, boolean selective, long notBeforeNanos, int pushedBack)
+    record Wait(
+            ErrorKind kind, boolean selective, boolean guarded, long notBeforeNanos, int pushedBack)
             implements ServerChoice {}
 }
--- a/router/src/main/java/org/magnoliaseam/gateway/ServerFeedback.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/ServerFeedback.java
@@ -1,5 +1,6 @@
 package org.magnoliaseam.gateway;
 
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.magnoliaseam.backend.BackendFailure;
 import org.magnoliaseam.leaving.LeavingSource;
 import org.magnoliaseam.leaving.ServerIncarnation;
@@ -33,6 +34,12 @@
     /** Logs and counts what backend servers state. */
     private final ServerNotices mNotices;
 
+    /** The local monotonic time at which the attempt was sent. */
+    private volatile long mSentNanos;
+
+    /** Whether other guarded requests may run at the backend server again. */
+    private final AtomicBoolean mGuardEnded = new AtomicBoolean();
+
     /** Whether the attempt no longer counts among the unanswered requests. */
     private boolean mAnswered;
 
@@ -92,6 +99,7 @@
 
     /** Records that the attempt is sent. */
     void sent() {
+        mSentNanos = mClock.nanos();
         synchronized (mPool) {
             server().sent(mRequest);
             mSelector.started(mRequest, mStart.uncachedTokens(), mClock.nanos());
@@ -125,15 +133,10 @@
         }
     }
 
-    /**
-     * Records that an answer says that the backend server is leaving. This holds for the start that
-     * was published when the attempt began, since a later one may have been published meanwhile.
-     */
+    /** Records that an answer says that the backend server is leaving. */
     void leaving() {
         synchronized (mPool) {
-            ServerIncarnation server =
-                    new ServerIncarnation(server().id(), mStart.entry().startMark());
-            mServers.leaving(server, LeavingSource.ANSWER, mClock.nanos());
+            mServers.leaving(incarnation(), LeavingSource.ANSWER, mClock.nanos());
         }
     }
 
@@ -179,8 +182,42 @@
         }
     }
 
+    /** Records that the backend server continues its answer. */
+    void progressed() {
+        mPool.crashes().answers(incarnation(), mSentNanos);
+    }
+
+    /** Records that the request has not crashed the backend server. */
+    void survived() {
+        mPool.crashes().answered(mRequest);
+        endGuard();
+    }
+
+    /** Records that the backend server may have crashed before it answered. */
+    void lost() {
+        mPool.crashes().lost(incarnation(), mRequest, mSentNanos);
+    }
+
+    /** Lets other guarded requests run at the backend server. */
+    private void endGuard() {
+        if (mStart.guarded() && mGuardEnded.compareAndSet(false, true)) {
+            mPool.crashes().ended(server().id());
+        }
+    }
+
+    /**
+     * Returns the start of the backend server that was published when the attempt began, since a
+     * later one may have been published meanwhile.
+     *
+     * @return the start
+     */
+    private ServerIncarnation incarnation() {
+        return new ServerIncarnation(server().id(), mStart.entry().startMark());
+    }
+
     /** Counts the end of the attempt. */
     private void end() {
+        endGuard();
         leavePushback(false);
         server().end();
     }
--- a/router/src/main/java/org/magnoliaseam/gateway/ServerPool.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/ServerPool.java
@@ -1,7 +1,8 @@
 package org.magnoliaseam.gateway;
 
-import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import java.util.function.Supplier;
 import org.apache.logging.log4j.LogManager;
@@ -47,6 +48,9 @@
     /** Logs and counts what backend servers state. */
     private final ServerNotices mNotices = new ServerNotices();
 
+    /** Protects backend servers from requests that crash them. */
+    private final CrashGuard mCrashes;
+
     /** The clock. */
     private final MonotonicClock mClock;
 
@@ -56,6 +60,9 @@
     /** Divides limits that apply to all entry VMs together. */
     private final VmShares mShares = new VmShares();
 
+    /** Selects the backend servers that may run a request. */
+    private final ServerCandidates mCandidates = new ServerCandidates(mRoom, mShares);
+
     /**
      * Creates a pool without backend servers.
      *
@@ -68,6 +75,7 @@
         mSelector = new ServerSelector(ownDomain, mPeerLoads);
         mBudgets = new ServiceRetryBudgets(retries);
         mClock = clock;
+        mCrashes = new CrashGuard(clock);
         mServers = new ServerRegistry(mNotices, clock.nanos());
     }
 
@@ -95,13 +103,7 @@
      * @return the loads that are not zero
      */
     synchronized List<ServerLoad> loads() {
-        List<ServerLoad> loads = new ArrayList<>();
-        for (BackendServerState state : mServers.all()) {
-            if (state.running() > 0) {
-                loads.add(new ServerLoad(state.id(), state.running(), state.pendingTokens()));
-            }
-        }
-        return loads;
+        return mServers.loads();
     }
 
     /**
@@ -143,6 +145,7 @@
     synchronized void heard(PeerEndpoint peer, Digest digest) {
         long now = mClock.nanos();
         mPeerLoads.heard(peer, digest, now);
+        mCrashes.heard(digest.crashes());
         for (ServerIncarnation server : digest.leaving()) {
             mServers.leaving(server, LeavingSource.PEER, now);
         }
@@ -185,13 +188,20 @@
         long now = mClock.nanos();
         List<BackendServerState> present = mServers.inService(request.service().name());
         if (present.isEmpty()) {
-            return new ServerChoice.Wait(ErrorKind.NO_BACKEND_SERVER, false, now, 0);
+            return new ServerChoice.Wait(ErrorKind.NO_BACKEND_SERVER, false, false, now, 0);
         }
-        int pushedBack = pushedBack(present, now);
-        List<BackendServerState> candidates = candidates(request, present, excluded, now);
+        int pushedBack = ServerCandidates.pushedBack(present, now);
+        List<BackendServerState> candidates = mCandidates.of(request, present, excluded, now);
         if (candidates.isEmpty()) {
             return new ServerChoice.Wait(
-                    ErrorKind.OVERLOADED, false, notBefore(present, excluded, now), pushedBack);
+                    ErrorKind.OVERLOADED,
+                    false,
+                    false,
+                    ServerCandidates.notBefore(present, excluded, now),
+                    pushedBack);
+        }
+        if (mCrashes.guards(request)) {
+            return chooseGuarded(request, candidates, now);
         }
         BackendServerState chosen = mSelector.choose(request, present, candidates, now);
         if (!ServerRoom.hasRoom(request, chosen, now)) {
@@ -201,20 +211,69 @@
                             .toList();
             if (patient || free.isEmpty()) {
                 return new ServerChoice.Wait(
-                        ErrorKind.OVERLOADED, !free.isEmpty(), now, pushedBack);
+                        ErrorKind.OVERLOADED, !free.isEmpty(), false, now, pushedBack);
             }
             chosen = mSelector.choose(request, present, free, now);
         }
         String reason =
                 mSelector.describe(request, chosen, candidates.size(), now)
                         + (pushedBack > 0 ? " pushed_back=" + pushedBack : "");
+        return start(request, chosen, false, reason, now);
+    }
+
+    /**
+     * Selects a backend server for a request that may crash it: of those without another guarded
+     * request the one with the fewest requests, which a crash would interrupt.
+     *
+     * @param request the request
+     * @param candidates the backend servers that have a free slot
+     * @param now the local monotonic time
+     * @return the selected backend server, or the reason to wait
+     */
+    private ServerChoice chooseGuarded(
+            GatewayRequest request, List<BackendServerState> candidates, long now) {
+        List<BackendServerState> isolated =
+                mCrashes.isolated(request, candidates).stream()
+                        .filter(state -> ServerRoom.hasRoom(request, state, now))
+                        .toList();
+        Optional<BackendServerState> chosen =
+                isolated.stream()
+                        .min(Comparator.comparingInt(state -> state.occupied(mPeerLoads, now)));
+        if (chosen.isEmpty()) {
+            return new ServerChoice.Wait(ErrorKind.OVERLOADED, false, true, now, 0);
+        }
+        mCrashes.started(chosen.get().id(), request);
+        return start(
+                request,
+                chosen.get(),
+                true,
+                mSelector.describe(request, chosen.get(), isolated.size(), now) + " guarded=true",
+                now);
+    }
+
+    /**
+     * Counts an attempt that starts.
+     *
+     * @param request the request
+     * @param chosen the selected backend server
+     * @param guarded whether the request is kept from other guarded ones
+     * @param reason the inputs of the decision, for the log
+     * @param now the local monotonic time
+     * @return the selected backend server
+     */
+    private ServerChoice start(
+            GatewayRequest request,
+            BackendServerState chosen,
+            boolean guarded,
+            String reason,
+            long now) {
         boolean idle = chosen.waitingTokens(mPeerLoads, now) == 0;
         long tokens = chosen.start(request, mShares, now);
         boolean measurable = idle && tokens <= request.prompt().ownTokens();
         ServerRoom.Limits limits = mRoom.limits(request, chosen, now);
         int pushbacks = chosen.pushback().started();
         return new ServerChoice.Start(
-                chosen, chosen.entry(), tokens, limits, pushbacks, measurable, reason);
+                chosen, chosen.entry(), tokens, limits, pushbacks, measurable, guarded, reason);
     }
 
     /**
@@ -238,59 +297,21 @@
     }
 
     /**
-     * Returns the published backend servers that are leaving.
-     *
-     * @return their entries
-     */
-    synchronized List<ServerEntry> leaving() {
-        return mServers.leaving();
-    }
-
-    /**
-     * Selects the backend servers that may run a request now. Ejected ones are used only if there
-     * is no other that will take the request before its deadline.
+     * Returns what protects backend servers from requests that crash them.
      *
-     * @param request the request
-     * @param present the backend servers of the service that are in service
-     * @param excluded the backend servers that get no further attempt of the request
-     * @param now the local monotonic time
-     * @return the backend servers that have a free slot
+     * @return the guard
      */
-    private List<BackendServerState> candidates(
-            GatewayRequest request,
-            List<BackendServerState> present,
-            Set<BackendServerId> excluded,
-            long now) {
-        List<BackendServerState> healthy = new ArrayList<>(present.size());
-        List<BackendServerState> ejected = new ArrayList<>();
-        boolean anyHealthy = false;
-        for (BackendServerState state : present) {
-            if (excluded.contains(state.id()) || !state.admits(request.service(), mShares, now)) {
-                continue;
-            }
-            boolean sound = !state.failures().ejected(state.running(), now);
-            long until = state.pushback().untilNanos(now);
-            anyHealthy |= sound && (until == now || until - request.deadlineNanos() < 0);
-            if (mRoom.hasSlot(state, now) && state.pushback().admits(now)) {
-                (sound ? healthy : ejected).add(state);
-            }
-        }
-        return anyHealthy ? healthy : ejected;
+    public CrashGuard crashes() {
+        return mCrashes;
     }
 
     /**
-     * Counts the backend servers that want no requests at the moment.
+     * Returns the published backend servers that are leaving.
      *
-     * @param present the backend servers of the service that are in service
-     * @param now the local monotonic time
-     * @return the number of backend servers
+     * @return their entries
      */
-    private static int pushedBack(List<BackendServerState> present, long now) {
-        int count = 0;
-        for (BackendServerState state : present) {
-            count += state.pushback().isActive(now) ? 1 : 0;
-        }
-        return count;
+    synchronized List<ServerEntry> leaving() {
+        return mServers.leaving();
     }
 
     /**
@@ -305,27 +326,9 @@
         return new ServerChoice.Wait(
                 ErrorKind.OVERLOADED,
                 false,
-                notBefore(present, Set.of(), now),
-                pushedBack(present, now));
-    }
-
-    /**
-     * Returns the time before which no backend server takes a request of a service.
-     *
-     * @param present the backend servers of the service that are in service
-     * @param excluded the backend servers that get no further attempt of the request
-     * @param now the local monotonic time
-     * @return the earliest end of the times for which they want no requests; now if one of them may
-     *     take it at any moment, or if there is none
-     */
-    private static long notBefore(
-            List<BackendServerState> present, Set<BackendServerId> excluded, long now) {
-        return present.stream()
-                        .filter(state -> !excluded.contains(state.id()))
-                        .mapToLong(state -> state.pushback().untilNanos(now) - now)
-                        .min()
-                        .orElse(0)
-                + now;
+                false,
+                ServerCandidates.notBefore(present, Set.of(), now),
+                ServerCandidates.pushedBack(present, now));
     }
 
     /**
@@ -335,7 +338,8 @@
      * @return the local monotonic time; now if one of them may take it at any moment
      */
     synchronized long notBeforeNanos(GatewayRequest request) {
-        return notBefore(mServers.inService(request.service().name()), Set.of(), mClock.nanos());
+        return ServerCandidates.notBefore(
+                mServers.inService(request.service().name()), Set.of(), mClock.nanos());
     }
 
     /**
--- a/router/src/main/java/org/magnoliaseam/gateway/ServerRegistry.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/ServerRegistry.java
@@ -11,6 +11,7 @@
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.magnoliaseam.catalog.ServerEntry;
+import org.magnoliaseam.gossip.ServerLoad;
 import org.magnoliaseam.leaving.LeavingServers;
 import org.magnoliaseam.leaving.LeavingSource;
 import org.magnoliaseam.leaving.ServerIncarnation;
@@ -276,6 +277,18 @@
         return mServers.values();
     }
 
+    /**
+     * Returns the load that this entry VM puts on backend servers.
+     *
+     * @return the loads that are not zero
+     */
+    List<ServerLoad> loads() {
+        return mServers.values().stream()
+                .filter(state -> state.running() > 0)
+                .map(state -> new ServerLoad(state.id(), state.running(), state.pendingTokens()))
+                .toList();
+    }
+
     /**
      * Returns a published backend server.
      *
--- a/router/src/main/java/org/magnoliaseam/gossip/Digest.java
+++ b/router/src/main/java/org/magnoliaseam/gossip/Digest.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import org.magnoliaseam.leaving.ServerIncarnation;
+import org.magnoliaseam.suspect.CrashNews;
 
 /**
  * Holds the state that an entry VM reports to the others.
@@ -17,6 +18,7 @@
  * @param demands its recent demand
  * @param reads the prompt parts that it has sent to backend servers lately
  * @param leaving the starts of backend servers that it has found to be leaving lately
+ * @param crashes what it knows of crashes of backend servers lately
  */
 public record Digest(
         long incarnation,
@@ -27,4 +29,5 @@
         List<ServerLoad> loads,
         List<Demand> demands,
         List<PartRead> reads,
-        List<ServerIncarnation> leaving) {}
+        List<ServerIncarnation> leaving,
+        CrashNews crashes) {}
--- a/router/src/main/java/org/magnoliaseam/gossip/DigestCodec.java
+++ b/router/src/main/java/org/magnoliaseam/gossip/DigestCodec.java
@@ -15,7 +15,7 @@
 final class DigestCodec {
 
     /** The version of the format. */
-    private static final int FORMAT = 5;
+    private static final int FORMAT = 6;
 
     /** The largest number of elements in a list. */
     private static final int MAX_ELEMENTS = 4096;
@@ -65,6 +65,7 @@
                 packer.packString(server.id().value());
                 packer.packLong(server.startMark());
             }
+            CrashNewsCodec.encode(digest.crashes(), packer);
             return packer.toByteArray();
         }
     }
@@ -95,7 +96,8 @@
                     list(unpacker, DigestCodec::load),
                     list(unpacker, DigestCodec::demand),
                     list(unpacker, DigestCodec::read),
-                    list(unpacker, DigestCodec::leaving));
+                    list(unpacker, DigestCodec::leaving),
+                    CrashNewsCodec.decode(unpacker));
         } catch (MessagePackException | IllegalArgumentException e) {
             throw new IOException("malformed digest", e);
         }
@@ -107,7 +109,7 @@
      * @param <T> the type of the element
      */
     @FunctionalInterface
-    private interface ElementReader<T> {
+    interface ElementReader<T> {
 
         /**
          * Reads an element.
@@ -128,8 +130,7 @@
      * @return the elements
      * @throws IOException if the list is too long or malformed
      */
-    private static <T> List<T> list(MessageUnpacker unpacker, ElementReader<T> reader)
-            throws IOException {
+    static <T> List<T> list(MessageUnpacker unpacker, ElementReader<T> reader) throws IOException {
         int count = unpacker.unpackArrayHeader();
         if (count > MAX_ELEMENTS) {
             throw new IOException("too many elements in a list of a digest");
--- a/router/src/main/java/org/magnoliaseam/gossip/GossipListener.java
+++ b/router/src/main/java/org/magnoliaseam/gossip/GossipListener.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import org.magnoliaseam.leaving.ServerIncarnation;
+import org.magnoliaseam.suspect.CrashNews;
 
 /** Supplies the state to report to the other entry VMs, and receives their digests. */
 public interface GossipListener {
@@ -43,6 +44,14 @@
      */
     List<ServerIncarnation> leaving(int digests);
 
+    /**
+     * Returns what this entry VM knows of crashes of backend servers lately.
+     *
+     * @param digests the number of digests that include each notice
+     * @return the notices
+     */
+    CrashNews crashes(int digests);
+
     /**
      * Handles a digest of a peer.
      *
--- a/router/src/main/java/org/magnoliaseam/gossip/GossipNode.java
+++ b/router/src/main/java/org/magnoliaseam/gossip/GossipNode.java
@@ -158,7 +158,8 @@
                         mListener.loads(),
                         mListener.demands(),
                         mListener.reads(repeats),
-                        mListener.leaving(repeats));
+                        mListener.leaving(repeats),
+                        mListener.crashes(repeats));
         byte[] bytes = DigestCodec.encode(digest);
         List<PeerEndpoint> targets = mPeers.next(FAN_OUT, now);
         if (mSequence % DISCOVERY_INTERVAL_DIGESTS == 1) {
--- a/router/src/main/java/org/magnoliaseam/platform/CallerResponse.java
+++ b/router/src/main/java/org/magnoliaseam/platform/CallerResponse.java
@@ -11,6 +11,7 @@
 import org.eclipse.jetty.util.Callback;
 import org.magnoliaseam.caller.ErrorBody;
 import org.magnoliaseam.caller.ObservedEndPoint;
+import org.magnoliaseam.error.ErrorKind;
 import org.magnoliaseam.error.Executed;
 import org.magnoliaseam.error.Refusal;
 import org.magnoliaseam.exchange.AnswerHead;
@@ -179,12 +180,16 @@
 
     /**
      * Returns the HTTP status of a refusal. Callers read 503 and the client errors as a statement
-     * that the request did not and will not run, so a refusal that cannot rule that out gets 502.
+     * that the request did not and will not run, so a refusal that cannot rule that out gets 502. A
+     * request that crashes backend servers is valid, so it gets 503 too.
      *
      * @param refusal the refusal
      * @return the HTTP status
      */
     private static int status(Refusal refusal) {
+        if (refusal.kind() == ErrorKind.CRASHING_REQUEST) {
+            return UNAVAILABLE;
+        }
         int status = refusal.kind().httpStatus();
         boolean mayHaveRun = refusal.kind().executed() != Executed.NO;
         if (mayHaveRun && (status == UNAVAILABLE || status < MIN_SERVER_ERROR)) {
--- a/router/src/main/java/org/magnoliaseam/route/GatewayFactory.java
+++ b/router/src/main/java/org/magnoliaseam/route/GatewayFactory.java
@@ -14,6 +14,7 @@
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
 import org.magnoliaseam.caller.ObservedConnectionFactory;
 import org.magnoliaseam.catalog.Catalog;
+import org.magnoliaseam.gateway.CrashLog;
 import org.magnoliaseam.gateway.CurrentCatalog;
 import org.magnoliaseam.gateway.Gateway;
 import org.magnoliaseam.gateway.GatewayParts;
@@ -189,6 +190,10 @@
         metrics.registerGauge("gateway.pushback.begun", notices::pushbackBegun);
         metrics.registerGauge("gateway.pushback.ended", notices::pushbackEnded);
         metrics.registerGauge("gateway.notices.faulty", notices::faulty);
+        CrashLog crashes = pool.crashes().log();
+        metrics.registerGauge("gateway.crashes.seen", crashes::crashes);
+        metrics.registerGauge("gateway.crashes.causes", crashes::causes);
+        metrics.registerGauge("gateway.crashes.refused", crashes::refused);
     }
 
     /**
--- /dev/null
+++ b/router/src/main/java/org/magnoliaseam/suspect/Crash.java
@@ -0,0 +1,147 @@
+package org.magnoliaseam.suspect;
+
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
+
+/** Holds the requests that were unanswered when a backend server crashed. Not thread-safe. */
+final class Crash {
+
+    /** The largest number of requests to keep. */
+    private static final int MAX_REQUESTS = 16;
+
+    /** The hash of the start of the backend server. */
+    private final long mServer;
+
+    /** The local monotonic time of the crash. */
+    private final long mNanos;
+
+    /** The local monotonic time at which the crash last had a request refused. */
+    private long mUsedNanos;
+
+    /** The local monotonic time at which each request was sent, by the marks of the request. */
+    private final Map<Set<RequestMark>, Long> mRequests = new LinkedHashMap<>();
+
+    /**
+     * Creates a crash without requests.
+     *
+     * @param server the hash of the start of the backend server
+     * @param nanos the local monotonic time of the crash
+     */
+    Crash(long server, long nanos) {
+        mServer = server;
+        mNanos = nanos;
+        mUsedNanos = nanos;
+    }
+
+    /**
+     * Adds an unanswered request.
+     *
+     * @param marks its marks
+     * @param sentNanos the local monotonic time at which it was sent
+     * @return false if it is known already or there are too many
+     */
+    boolean add(Set<RequestMark> marks, long sentNanos) {
+        if (mRequests.size() >= MAX_REQUESTS) {
+            return false;
+        }
+        return mRequests.putIfAbsent(marks, sentNanos) == null;
+    }
+
+    /**
+     * Removes a mark from all requests, because it has not caused the crash.
+     *
+     * @param mark the mark
+     * @return true if a request had it
+     */
+    boolean remove(RequestMark mark) {
+        if (mRequests.keySet().stream().noneMatch(marks -> marks.contains(mark))) {
+            return false;
+        }
+        Map<Set<RequestMark>, Long> kept = new HashMap<>();
+        mRequests.forEach(
+                (marks, sent) -> {
+                    Set<RequestMark> rest =
+                            marks.stream()
+                                    .filter(other -> !other.equals(mark))
+                                    .collect(Collectors.toUnmodifiableSet());
+                    if (!rest.isEmpty()) {
+                        kept.merge(rest, sent, Math::max);
+                    }
+                });
+        mRequests.clear();
+        mRequests.putAll(kept);
+        return true;
+    }
+
+    /**
+     * Returns the latest time at which a request with a mark was sent.
+     *
+     * @param mark the mark
+     * @return the local monotonic time; empty if no request had the mark
+     */
+    Optional<Long> sentNanos(RequestMark mark) {
+        return mRequests.entrySet().stream()
+                .filter(entry -> entry.getKey().contains(mark))
+                .map(Map.Entry::getValue)
+                .max((a, b) -> Long.signum(a - b));
+    }
+
+    /**
+     * Returns the marks of the requests.
+     *
+     * @return a set for each request
+     */
+    Set<Set<RequestMark>> requests() {
+        return Set.copyOf(mRequests.keySet());
+    }
+
+    /**
+     * Returns the time at which a request was sent.
+     *
+     * @param marks the marks of the request
+     * @return the local monotonic time; null if there is no such request
+     */
+    Long sentNanos(Set<RequestMark> marks) {
+        return mRequests.get(marks);
+    }
+
+    /**
+     * Returns the hash of the start of the backend server.
+     *
+     * @return the hash
+     */
+    long server() {
+        return mServer;
+    }
+
+    /**
+     * Returns the time of the crash.
+     *
+     * @return the local monotonic time
+     */
+    long nanos() {
+        return mNanos;
+    }
+
+    /**
+     * Returns the time at which the crash last had a request refused.
+     *
+     * @return the local monotonic time; that of the crash if it has not
+     */
+    long usedNanos() {
+        return mUsedNanos;
+    }
+
+    /**
+     * Records that the crash had a request refused.
+     *
+     * @param nanos the local monotonic time
+     */
+    void used(long nanos) {
+        mUsedNanos = nanos - mUsedNanos > 0 ? nanos : mUsedNanos;
+    }
+}
--- /dev/null
+++ b/router/src/main/java/org/magnoliaseam/suspect/CrashRecords.java
@@ -0,0 +1,387 @@
+package org.magnoliaseam.suspect;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
+
+/**
+ * Records which requests were unanswered when backend servers crashed, as seen by all entry VMs,
+ * and decides which requests are refused. Several reports of one crash count once. Not thread-safe.
+ */
+public final class CrashRecords {
+
+    /**
+     * The time without such requests after which one is tried again, in milliseconds; what a
+     * refused caller is told to wait.
+     */
+    public static final long QUIET_MILLIS = 60_000;
+
+    /** The largest number of crashes to keep; the one that is unused the longest is dropped. */
+    public static final int MAX_CRASHES = 64;
+
+    /** The time without such requests after which a crash is forgotten, in nanoseconds. */
+    private static final long RETENTION_NANOS = TimeUnit.MINUTES.toNanos(10);
+
+    /** The crashes after which requests are no longer tried again. */
+    private static final int FINAL_CRASHES = 6;
+
+    /** The largest number of answered marks to keep; the oldest are dropped. */
+    private static final int MAX_ANSWERED = 4096;
+
+    /** The largest number of starts that have survived to keep. */
+    private static final int MAX_SURVIVORS = 256;
+
+    /** The time for which answers may still arrive after a crash, in nanoseconds. */
+    private static final long CRASH_SLACK_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
+
+    /** The crashes by the hash of the start of the backend server. */
+    private final Map<Long, Crash> mCrashes = new LinkedHashMap<>();
+
+    /** The local monotonic time of the latest answer to a request with a mark, oldest first. */
+    private final Map<RequestMark, Long> mAnswered = new LinkedHashMap<>();
+
+    /** The starts of backend servers that have not crashed. */
+    private final Set<Long> mSurvivors = new LinkedHashSet<>();
+
+    /** What explains the crashes; null if they have changed. */
+    private CrashAnalysis mAnalysis;
+
+    /**
+     * Records a request that was unanswered when a backend server crashed.
+     *
+     * @param server the hash of the start of the backend server
+     * @param crashNanos the local monotonic time of the crash
+     * @param sentNanos the local monotonic time at which the request was sent
+     * @param marks the marks of the request
+     * @return the marks that may have caused the crash; empty if nothing new was recorded
+     */
+    public Set<RequestMark> crashed(
+            long server, long crashNanos, long sentNanos, Collection<RequestMark> marks) {
+        Set<RequestMark> candidates =
+                marks.stream()
+                        .filter(mark -> !answeredSince(mark, crashNanos))
+                        .collect(Collectors.toUnmodifiableSet());
+        if (candidates.isEmpty() || mSurvivors.contains(server)) {
+            return Set.of();
+        }
+        Crash crash = mCrashes.computeIfAbsent(server, hash -> new Crash(hash, crashNanos));
+        if (!crash.add(candidates, sentNanos)) {
+            return Set.of();
+        }
+        mAnalysis = null;
+        if (mCrashes.size() > MAX_CRASHES) {
+            mCrashes.values().stream()
+                    .min((a, b) -> Long.signum(a.usedNanos() - b.usedNanos()))
+                    .ifPresent(oldest -> mCrashes.remove(oldest.server()));
+        }
+        return candidates;
+    }
+
+    /**
+     * Records an answer to a request with a mark, which cannot have caused earlier crashes.
+     *
+     * @param mark the mark
+     * @param nanos the local monotonic time of the answer
+     * @return true if the mark was a candidate for an earlier crash
+     */
+    public boolean answered(RequestMark mark, long nanos) {
+        Long known = mAnswered.remove(mark);
+        long latest = known != null && known - nanos > 0 ? known : nanos;
+        mAnswered.put(mark, latest);
+        if (mAnswered.size() > MAX_ANSWERED) {
+            mAnswered.remove(mAnswered.keySet().iterator().next());
+        }
+        boolean changed = false;
+        for (Crash crash : mCrashes.values()) {
+            changed |= crash.nanos() - nanos <= 0 && crash.remove(mark);
+        }
+        if (changed) {
+            mCrashes.values().removeIf(crash -> crash.requests().isEmpty());
+        }
+        boolean firstAnswer = known == null && mAnalysis != null && mAnalysis.isCandidate(mark);
+        if (changed || firstAnswer) {
+            mAnalysis = null;
+        }
+        return changed;
+    }
+
+    /**
+     * Records that a backend server answers a request that it got before its recorded crash.
+     *
+     * @param server the hash of the start of the backend server
+     * @param sentNanos the local monotonic time at which the request was sent
+     * @param nowNanos the local monotonic time
+     * @return true if the backend server has not crashed, though it was recorded
+     */
+    public boolean answers(long server, long sentNanos, long nowNanos) {
+        Crash crash = mCrashes.get(server);
+        return crash != null
+                && crash.nanos() - sentNanos > 0
+                && nowNanos - crash.nanos() > CRASH_SLACK_NANOS
+                && survived(server);
+    }
+
+    /**
+     * Records that a backend server has not crashed, though connections to it were lost.
+     *
+     * @param server the hash of the start of the backend server
+     * @return true if it was not known
+     */
+    public boolean survived(long server) {
+        if (!mSurvivors.add(server)) {
+            return false;
+        }
+        if (mSurvivors.size() > MAX_SURVIVORS) {
+            mSurvivors.remove(mSurvivors.iterator().next());
+        }
+        if (mCrashes.remove(server) != null) {
+            mAnalysis = null;
+        }
+        return true;
+    }
+
+    /**
+     * Decides how a request is treated.
+     *
+     * @param marks its marks
+     * @param nowNanos the local monotonic time
+     * @return the decision
+     */
+    public SuspectVerdict verdict(Collection<RequestMark> marks, long nowNanos) {
+        if (cause(marks, nowNanos).isPresent()) {
+            return SuspectVerdict.REFUSED;
+        }
+        return marks.stream().anyMatch(analysis()::isGuarded)
+                ? SuspectVerdict.GUARDED
+                : SuspectVerdict.FREE;
+    }
+
+    /**
+     * Finds the cause for which a request is refused now.
+     *
+     * @param marks the marks of the request
+     * @param nowNanos the local monotonic time
+     * @return the cause; empty if the request may run
+     */
+    public Optional<CrashCause> cause(Collection<RequestMark> marks, long nowNanos) {
+        return analysis().causes().stream()
+                .filter(cause -> cause.matches(marks) && isInForce(cause, nowNanos))
+                .findFirst();
+    }
+
+    /**
+     * Records that a cause had a request refused, which keeps it in force.
+     *
+     * @param cause the cause
+     * @param nanos the local monotonic time
+     */
+    public void used(CrashCause cause, long nanos) {
+        crashes(cause).forEach(crash -> crash.used(nanos));
+    }
+
+    /**
+     * Returns the causes that have requests refused.
+     *
+     * @param nowNanos the local monotonic time
+     * @return the causes
+     */
+    public List<CrashCause> causesInForce(long nowNanos) {
+        return analysis().causes().stream().filter(cause -> isInForce(cause, nowNanos)).toList();
+    }
+
+    /**
+     * Returns the marks that may have caused a crash.
+     *
+     * @return the marks
+     */
+    public Set<RequestMark> candidates() {
+        return analysis().candidates();
+    }
+
+    /**
+     * Tells whether a request with a mark must not run beside other guarded ones.
+     *
+     * @param mark the mark
+     * @return true if one more crash would make it a cause, or if it is part of one
+     */
+    public boolean isGuarded(RequestMark mark) {
+        return analysis().isGuarded(mark);
+    }
+
+    /**
+     * Tells whether no crash is recorded.
+     *
+     * @return true if no request is guarded or refused
+     */
+    public boolean isEmpty() {
+        return mCrashes.isEmpty();
+    }
+
+    /**
+     * Forgets crashes that have had no request refused for a long time.
+     *
+     * @param nowNanos the local monotonic time
+     */
+    public void expire(long nowNanos) {
+        if (mCrashes.values().removeIf(crash -> nowNanos - crash.usedNanos() > RETENTION_NANOS)) {
+            mAnalysis = null;
+        }
+    }
+
+    /**
+     * Returns the notices of the crashes that a cause explains.
+     *
+     * @param cause the cause
+     * @return the hashes of the starts of the backend servers, with the marks of the requests
+     */
+    public Map<Long, Set<Set<RequestMark>>> reports(CrashCause cause) {
+        return crashes(cause).stream().collect(Collectors.toMap(Crash::server, Crash::requests));
+    }
+
+    /**
+     * Returns the notice of a request that was unanswered at a crash.
+     *
+     * @param server the hash of the start of the backend server
+     * @param marks the marks of the request
+     * @param nowNanos the local monotonic time
+     * @return the notice; empty if the request no longer counts
+     */
+    public Optional<CrashNotice> notice(long server, Set<RequestMark> marks, long nowNanos) {
+        Crash crash = mCrashes.get(server);
+        Long sent = crash == null ? null : crash.sentNanos(marks);
+        return sent == null
+                ? Optional.empty()
+                : Optional.of(
+                        new CrashNotice(
+                                server,
+                                ageMillis(crash.nanos(), nowNanos),
+                                ageMillis(sent, nowNanos),
+                                ageMillis(crash.usedNanos(), nowNanos),
+                                marks));
+    }
+
+    /**
+     * Records a notice of another entry VM.
+     *
+     * @param notice the notice
+     * @param nowNanos the local monotonic time
+     * @return the marks that may have caused the crash; empty if nothing new was recorded
+     */
+    public Set<RequestMark> heard(CrashNotice notice, long nowNanos) {
+        Set<RequestMark> recorded =
+                crashed(
+                        notice.server(),
+                        nanos(notice.crashAgeMillis(), nowNanos),
+                        nanos(notice.sentAgeMillis(), nowNanos),
+                        notice.marks());
+        Crash crash = mCrashes.get(notice.server());
+        if (crash != null) {
+            crash.used(nanos(notice.useAgeMillis(), nowNanos));
+        }
+        return recorded;
+    }
+
+    /**
+     * Returns the latest answer to a request with a mark.
+     *
+     * @param mark the mark
+     * @param nowNanos the local monotonic time
+     * @return the notice of the answer; empty if none is known
+     */
+    public Optional<AnswerNotice> answer(RequestMark mark, long nowNanos) {
+        return Optional.ofNullable(mAnswered.get(mark))
+                .map(nanos -> new AnswerNotice(mark, ageMillis(nanos, nowNanos)));
+    }
+
+    /**
+     * Records an answer that another entry VM reports.
+     *
+     * @param notice the notice
+     * @param nowNanos the local monotonic time
+     * @return true if the mark was a candidate for an earlier crash
+     */
+    public boolean heard(AnswerNotice notice, long nowNanos) {
+        return answered(notice.mark(), nanos(notice.ageMillis(), nowNanos));
+    }
+
+    /**
+     * Tells whether a cause has requests refused.
+     *
+     * @param cause the cause
+     * @param nowNanos the local monotonic time
+     * @return false if no such request has come for a while and one may be tried
+     */
+    private boolean isInForce(CrashCause cause, long nowNanos) {
+        long quietNanos = TimeUnit.MILLISECONDS.toNanos(QUIET_MILLIS);
+        return cause.crashes() >= FINAL_CRASHES
+                || crashes(cause).stream()
+                        .anyMatch(crash -> nowNanos - crash.usedNanos() <= quietNanos);
+    }
+
+    /**
+     * Returns the crashes that a cause explains.
+     *
+     * @param cause the cause
+     * @return the crashes that are still recorded
+     */
+    private List<Crash> crashes(CrashCause cause) {
+        List<Crash> crashes = new ArrayList<>();
+        for (long server : cause.servers()) {
+            Optional.ofNullable(mCrashes.get(server)).ifPresent(crashes::add);
+        }
+        return crashes;
+    }
+
+    /**
+     * Returns what explains the crashes.
+     *
+     * @return the analysis of the current crashes
+     */
+    private CrashAnalysis analysis() {
+        if (mAnalysis == null) {
+            mAnalysis = new CrashAnalysis(mCrashes.values(), mAnswered::containsKey);
+        }
+        return mAnalysis;
+    }
+
+    /**
+     * Tells whether a request with a mark has been answered since a moment.
+     *
+     * @param mark the mark
+     * @param nanos the local monotonic time of the moment
+     * @return true if one has
+     */
+    private boolean answeredSince(RequestMark mark, long nanos) {
+        Long answered = mAnswered.get(mark);
+        return answered != null && answered - nanos >= 0;
+    }
+
+    /**
+     * Converts a local time to an age.
+     *
+     * @param nanos the local monotonic time
+     * @param nowNanos the local monotonic time now
+     * @return the age in milliseconds
+     */
+    private static long ageMillis(long nanos, long nowNanos) {
+        return TimeUnit.NANOSECONDS.toMillis(Math.max(0, nowNanos - nanos));
+    }
+
+    /**
+     * Converts an age to a local time.
+     *
+     * @param ageMillis the age in milliseconds
+     * @param nowNanos the local monotonic time now
+     * @return the local monotonic time
+     */
+    private static long nanos(long ageMillis, long nowNanos) {
+        return nowNanos - TimeUnit.MILLISECONDS.toNanos(Math.max(0, ageMillis));
+    }
+}
--- a/router/src/test/java/org/magnoliaseam/gateway/ServerLeavingTest.java
+++ b/router/src/test/java/org/magnoliaseam/gateway/ServerLeavingTest.java
@@ -25,6 +25,7 @@
 import org.magnoliaseam.gossip.PeerEndpoint;
 import org.magnoliaseam.model.BackendServerId;
 import org.magnoliaseam.model.ServiceName;
+import org.magnoliaseam.suspect.CrashNews;
 
 /** Tests that backend servers that are leaving get no new requests. */
 class ServerLeavingTest {
@@ -188,7 +189,8 @@
                             from.loads(),
                             List.of(),
                             List.of(),
-                            from.recentlyLeaving(3));
+                            from.recentlyLeaving(3),
+                            CrashNews.NONE);
             new PoolGossip(to, new PublishedRevision()).heard(mPeer, digest);
         }
 
--- a/router/src/test/java/org/magnoliaseam/gateway/ServerSelectorTest.java
+++ b/router/src/test/java/org/magnoliaseam/gateway/ServerSelectorTest.java
@@ -26,6 +26,7 @@
 import org.magnoliaseam.gossip.ServerLoad;
 import org.magnoliaseam.model.BackendServerId;
 import org.magnoliaseam.placement.PromptTimeModel;
+import org.magnoliaseam.suspect.CrashNews;
 
 /** Tests the selection of a backend server. */
 class ServerSelectorTest {
@@ -77,7 +78,16 @@
             ServerLoad load = new ServerLoad(preferred.id(), 40, 100_000);
             Digest digest =
                     new Digest(
-                            1, 1, 1, 0, List.of(), List.of(load), List.of(), List.of(), List.of());
+                            1,
+                            1,
+                            1,
+                            0,
+                            List.of(),
+                            List.of(load),
+                            List.of(),
+                            List.of(),
+                            List.of(),
+                            CrashNews.NONE);
             mPeerLoads.heard(new PeerEndpoint("127.0.0.1", 1), digest, 0);
             assertThat(choose(mSelector, request)).isNotSameAs(preferred);
             mPeerLoads.expire(1000 * MILLI);
@@ -268,7 +278,8 @@
                 refused++;
                 choice = mPool.choose(longPrompt, Set.of(), false);
             }
-            assertThat(choice).isEqualTo(new ServerChoice.Wait(ErrorKind.OVERLOADED, false, 1, 0));
+            assertThat(choice)
+                    .isEqualTo(new ServerChoice.Wait(ErrorKind.OVERLOADED, false, false, 1, 0));
             assertThat(refused).isBetween(1, 5);
         }
 
@@ -278,7 +289,7 @@
             ServerChoice.Start first = start(request);
             mPool.feedback(first, request).permitRefused(100);
             assertThat(mPool.choose(request, Set.of(), true))
-                    .isEqualTo(new ServerChoice.Wait(ErrorKind.OVERLOADED, true, 1, 0));
+                    .isEqualTo(new ServerChoice.Wait(ErrorKind.OVERLOADED, true, false, 1, 0));
             ServerChoice.Start other = (ServerChoice.Start) mPool.choose(request, Set.of(), false);
             assertThat(other.server()).isNotSameAs(first.server());
         }
--- a/router/src/test/java/org/magnoliaseam/gateway/SimulatedFleet.java
+++ b/router/src/test/java/org/magnoliaseam/gateway/SimulatedFleet.java
@@ -255,7 +255,8 @@
                             pool.loads(),
                             pool.demands(),
                             pool.reads(3),
-                            pool.recentlyLeaving(3));
+                            pool.recentlyLeaving(3),
+                            pool.crashes().news(3));
             for (int to = 0; to < mPools.size(); to++) {
                 if (to != from) {
                     mPools.get(to).heard(peer, digest);
--- a/router/src/test/java/org/magnoliaseam/gossip/GossipTest.java
+++ b/router/src/test/java/org/magnoliaseam/gossip/GossipTest.java
@@ -6,6 +6,7 @@
 import java.io.IOException;
 import java.util.List;
 import java.util.Random;
+import java.util.Set;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.IntRange;
@@ -14,6 +15,10 @@
 import org.magnoliaseam.leaving.ServerIncarnation;
 import org.magnoliaseam.model.BackendServerId;
 import org.magnoliaseam.model.ServiceName;
+import org.magnoliaseam.suspect.AnswerNotice;
+import org.magnoliaseam.suspect.CrashNews;
+import org.magnoliaseam.suspect.CrashNotice;
+import org.magnoliaseam.suspect.RequestMark;
 
 /** Tests the encoding of digests and the directory of peers. */
 class GossipTest {
@@ -36,12 +41,32 @@
                 List.of(new ServerLoad(new BackendServerId("s"), 3, 4000)),
                 List.of(new Demand(new ServiceName("x"), 200, 1.5)),
                 List.of(new PartRead(new BackendServerId("s"), "p", 9)),
-                List.of(new ServerIncarnation(new BackendServerId("s"), 1_780_000_000_000L)));
+                List.of(new ServerIncarnation(new BackendServerId("s"), 1_780_000_000_000L)),
+                new CrashNews(
+                        List.of(
+                                new CrashNotice(
+                                        -4,
+                                        30,
+                                        150,
+                                        20,
+                                        Set.of(new RequestMark(Long.MIN_VALUE + 1)))),
+                        List.of(new AnswerNotice(new RequestMark(8), 12)),
+                        List.of(-9L)));
     }
 
     /** Creates a digest of a peer that counts a number of entry VMs and names some. */
     private static Digest digestOf(int vms, PeerEndpoint... named) {
-        return new Digest(7, 8, vms, 0, List.of(named), List.of(), List.of(), List.of(), List.of());
+        return new Digest(
+                7,
+                8,
+                vms,
+                0,
+                List.of(named),
+                List.of(),
+                List.of(),
+                List.of(),
+                List.of(),
+                CrashNews.NONE);
     }
 
     @Test
