Test the causes of crashes, and keep what one cause explains together

Through the gateway: refusal before a send and its truth, a request on its way, the isolation of guarded requests.

Lost requests that were sent after a recorded crash now count to another one. - A request that was sent at the very moment of a crash did not count as sent after it.

--- a/router/src/main/java/org/magnoliaseam/gateway/CrashGuard.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/CrashGuard.java
@@ -190,7 +190,7 @@
         Set<RequestMark> marks = partMarks(request);
         marks.add(RequestMark.ofRequest(request.accountName(), target(request), request.body()));
         long now = mClock.nanos();
-        long hash = hash(server);
+        long hash = mRecords.crashOf(hash(server), sentNanos);
         Set<RequestMark> recorded = mRecords.crashed(hash, now, sentNanos, marks);
         if (!recorded.isEmpty()) {
             mReports.crashed(hash, recorded);
--- a/router/src/main/java/org/magnoliaseam/suspect/CrashAnalysis.java
+++ b/router/src/main/java/org/magnoliaseam/suspect/CrashAnalysis.java
@@ -192,7 +192,7 @@
         long last = 0;
         for (Crash crash : with(mark, unexplained)) {
             long sent = crash.sentNanos(mark).orElseThrow();
-            if (count == 0 || sent - last > 0) {
+            if (count == 0 || sent - last >= 0) {
                 count++;
                 last = crash.nanos();
             }
--- a/router/src/main/java/org/magnoliaseam/suspect/CrashRecords.java
+++ b/router/src/main/java/org/magnoliaseam/suspect/CrashRecords.java
@@ -10,6 +10,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Collectors;
+import org.magnoliaseam.membership.StableHash;
 
 /**
  * Records which requests were unanswered when backend servers crashed, as seen by all entry VMs,
@@ -32,9 +33,6 @@
     /** The crashes after which requests are no longer tried again. */
     private static final int FINAL_CRASHES = 6;
 
-    /** The largest number of answered marks to keep; the oldest are dropped. */
-    private static final int MAX_ANSWERED = 4096;
-
     /** The largest number of starts that have survived to keep. */
     private static final int MAX_SURVIVORS = 256;
 
@@ -44,8 +42,8 @@
     /** The crashes by the hash of the start of the backend server. */
     private final Map<Long, Crash> mCrashes = new LinkedHashMap<>();
 
-    /** The local monotonic time of the latest answer to a request with a mark, oldest first. */
-    private final Map<RequestMark, Long> mAnswered = new LinkedHashMap<>();
+    /** The marks of answered requests. */
+    private final AnsweredMarks mAnswered = new AnsweredMarks();
 
     /** The starts of backend servers that have not crashed. */
     private final Set<Long> mSurvivors = new LinkedHashSet<>();
@@ -53,6 +51,25 @@
     /** What explains the crashes; null if they have changed. */
     private CrashAnalysis mAnalysis;
 
+    /**
+     * Identifies the crash at which a request was lost. A request that was sent after a recorded
+     * crash was lost at another one, also if the backend server is not published anew, as during an
+     * outage of the publisher.
+     *
+     * @param server the hash of the start of the backend server
+     * @param sentNanos the local monotonic time at which the request was sent
+     * @return the hash to record the crash under
+     */
+    public long crashOf(long server, long sentNanos) {
+        long hash = server;
+        for (Crash crash = mCrashes.get(hash);
+                crash != null && sentNanos - crash.nanos() > 0;
+                crash = mCrashes.get(hash)) {
+            hash = StableHash.mix(hash + 1);
+        }
+        return hash;
+    }
+
     /**
      * Records a request that was unanswered when a backend server crashed.
      *
@@ -66,7 +83,7 @@
             long server, long crashNanos, long sentNanos, Collection<RequestMark> marks) {
         Set<RequestMark> candidates =
                 marks.stream()
-                        .filter(mark -> !answeredSince(mark, crashNanos))
+                        .filter(mark -> !mAnswered.containsSince(mark, crashNanos))
                         .collect(Collectors.toUnmodifiableSet());
         if (candidates.isEmpty() || mSurvivors.contains(server)) {
             return Set.of();
@@ -92,12 +109,7 @@
      * @return true if the mark was a candidate for an earlier crash
      */
     public boolean answered(RequestMark mark, long nanos) {
-        Long known = mAnswered.remove(mark);
-        long latest = known != null && known - nanos > 0 ? known : nanos;
-        mAnswered.put(mark, latest);
-        if (mAnswered.size() > MAX_ANSWERED) {
-            mAnswered.remove(mAnswered.keySet().iterator().next());
-        }
+        boolean first = mAnswered.add(mark, nanos);
         boolean changed = false;
         for (Crash crash : mCrashes.values()) {
             changed |= crash.nanos() - nanos <= 0 && crash.remove(mark);
@@ -105,8 +117,7 @@
         if (changed) {
             mCrashes.values().removeIf(crash -> crash.requests().isEmpty());
         }
-        boolean firstAnswer = known == null && mAnalysis != null && mAnalysis.isCandidate(mark);
-        if (changed || firstAnswer) {
+        if (changed || first && mAnalysis != null && mAnalysis.isCandidate(mark)) {
             mAnalysis = null;
         }
         return changed;
@@ -225,11 +236,19 @@
     }
 
     /**
-     * Forgets crashes that have had no request refused for a long time.
+     * Forgets crashes that have had no request refused for a long time. Those that one cause
+     * explains are forgotten together.
      *
      * @param nowNanos the local monotonic time
      */
     public void expire(long nowNanos) {
+        for (CrashCause cause : analysis().causes()) {
+            List<Crash> crashes = crashes(cause);
+            crashes.stream()
+                    .map(Crash::usedNanos)
+                    .max((a, b) -> Long.signum(a - b))
+                    .ifPresent(latest -> crashes.forEach(crash -> crash.used(latest)));
+        }
         if (mCrashes.values().removeIf(crash -> nowNanos - crash.usedNanos() > RETENTION_NANOS)) {
             mAnalysis = null;
         }
@@ -296,7 +315,8 @@
      * @return the notice of the answer; empty if none is known
      */
     public Optional<AnswerNotice> answer(RequestMark mark, long nowNanos) {
-        return Optional.ofNullable(mAnswered.get(mark))
+        return mAnswered
+                .nanos(mark)
                 .map(nanos -> new AnswerNotice(mark, ageMillis(nanos, nowNanos)));
     }
 
@@ -346,23 +366,11 @@
      */
     private CrashAnalysis analysis() {
         if (mAnalysis == null) {
-            mAnalysis = new CrashAnalysis(mCrashes.values(), mAnswered::containsKey);
+            mAnalysis = new CrashAnalysis(mCrashes.values(), mAnswered::contains);
         }
         return mAnalysis;
     }
 
-    /**
-     * Tells whether a request with a mark has been answered since a moment.
-     *
-     * @param mark the mark
-     * @param nanos the local monotonic time of the moment
-     * @return true if one has
-     */
-    private boolean answeredSince(RequestMark mark, long nanos) {
-        Long answered = mAnswered.get(mark);
-        return answered != null && answered - nanos >= 0;
-    }
-
     /**
      * Converts a local time to an age.
      *
--- /dev/null
+++ b/router/src/test/java/org/magnoliaseam/gateway/CrashGuardCallTest.java
@@ -0,0 +1,218 @@
+package org.magnoliaseam.gateway;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.magnoliaseam.gateway.GatewayFixtures.ENGINES;
+import static org.magnoliaseam.gateway.GatewayFixtures.MILLI;
+import static org.magnoliaseam.gateway.GatewayFixtures.OWN_DOMAIN;
+import static org.magnoliaseam.gateway.GatewayFixtures.route;
+import static org.magnoliaseam.gateway.GatewayFixtures.server;
+
+import com.codahale.metrics.MetricRegistry;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.atomic.AtomicLong;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.magnoliaseam.backend.BackendFailure;
+import org.magnoliaseam.catalog.RequestKind;
+import org.magnoliaseam.catalog.Route;
+import org.magnoliaseam.error.ErrorKind;
+import org.magnoliaseam.error.Executed;
+import org.magnoliaseam.exchange.AnswerHead;
+import org.magnoliaseam.leaving.ServerIncarnation;
+import org.magnoliaseam.model.BackendServerId;
+
+/** Tests how requests are treated that crash backend servers, through the gateway. */
+class CrashGuardCallTest {
+
+    private static final Route STREAM = route(RequestKind.STREAM, 2, true, 200);
+
+    private final AtomicLong mNow = new AtomicLong(1);
+
+    private final RecordingBackend mBackend = new RecordingBackend();
+
+    private final ServerPool mPool =
+            new ServerPool(OWN_DOMAIN, () -> GatewayFixtures.RETRIES, mNow::get);
+
+    private final Gateway mGateway =
+            new Gateway(
+                    new GatewayParts(
+                            mPool,
+                            mBackend,
+                            (peer, message) -> {},
+                            new RequestLog(new MetricRegistry()),
+                            mNow::get));
+
+    @BeforeEach
+    void publishServers() {
+        for (String id : List.of("a", "b", "c", "d", "e", "f")) {
+            mPool.publishedServers().add(server(id, ENGINES, false));
+        }
+    }
+
+    private RecordingSink submit(String id, String... shared) {
+        RecordingSink sink = new RecordingSink();
+        mGateway.submit(request(id, shared), sink);
+        return sink;
+    }
+
+    private static GatewayRequest request(String id, String... shared) {
+        List<PromptPart> parts = new ArrayList<>();
+        for (String part : shared) {
+            parts.add(new PromptPart(part, 100));
+        }
+        parts.add(new PromptPart("own-" + id, 100));
+        GatewayRequest like =
+                GatewayFixtures.request(id, STREAM, new Prompt(parts, 100 * parts.size(), 50));
+        return new GatewayRequest(
+                like.id(),
+                like.account(),
+                like.route(),
+                like.service(),
+                like.catalogVersion(),
+                like.method(),
+                like.target(),
+                like.headers(),
+                id.getBytes(StandardCharsets.UTF_8),
+                like.prompt(),
+                "",
+                like.arrivedNanos(),
+                like.deadlineNanos());
+    }
+
+    /** Ends the connection of the latest attempt. */
+    private void crash() {
+        mNow.addAndGet(100 * MILLI);
+        mBackend.last().failed(BackendFailure.CONNECTION_LOST, "reset");
+        mNow.addAndGet(MILLI);
+    }
+
+    private void answer() {
+        mBackend.last().head(new AnswerHead(200, List.of()));
+        mBackend.last()
+                .content(ByteBuffer.wrap("id: 1\ndata: x\n\n".getBytes(StandardCharsets.UTF_8)));
+        mBackend.last().ended();
+    }
+
+    /** Makes a part a cause: two requests crash two servers each. */
+    private void findCause() {
+        submit("c1", "crashing");
+        crash();
+        crash();
+        submit("c2", "crashing");
+        crash();
+    }
+
+    /** Tests requests that arrive after the cause has been found. */
+    @Nested
+    class Refused {
+        @Test
+        void requestIsRefusedAsNotRunBeforeItIsSent() {
+            findCause();
+            int sent = mBackend.mOrders.size();
+            RecordingSink sink = submit("c3", "crashing");
+            assertThat(mBackend.mOrders).hasSize(sent);
+            assertThat(sink.mRefusal.kind()).isEqualTo(ErrorKind.CRASHING_REQUEST);
+            assertThat(sink.mRefusal.kind().executed()).isEqualTo(Executed.NO);
+            assertThat(sink.mRetryAfterMillis).isEqualTo(60_000);
+        }
+
+        @Test
+        void requestThatMayHaveRunIsNotRefusedAsNotRun() {
+            submit("c1", "crashing");
+            crash();
+            crash();
+            RecordingSink sink = submit("c2", "crashing");
+            crash();
+            assertThat(sink.mRefusal.kind().executed()).isNotEqualTo(Executed.NO);
+            assertThat(mBackend.mOrders).hasSize(3);
+        }
+
+        @Test
+        void soundRequestsBesideItAreServed() {
+            findCause();
+            RecordingSink sink = submit("s1", "sound");
+            answer();
+            assertThat(sink.mComplete).isTrue();
+        }
+
+        @Test
+        void requestOnItsWayIsGivenUpWhenTheCauseIsFound() {
+            RecordingSink early = submit("early", "crashing");
+            CrashGuard elsewhere = new CrashGuard(mNow::get);
+            for (int i = 0; i < 3; i++) {
+                mNow.addAndGet(50 * MILLI);
+                elsewhere.lost(
+                        new ServerIncarnation(new BackendServerId("x" + i), 1),
+                        request("o" + i, "crashing"),
+                        mNow.get() - MILLI);
+            }
+            mPool.crashes().heard(elsewhere.news(3));
+            mGateway.tick();
+            assertThat(mBackend.mCancelled).isEqualTo(1);
+            assertThat(early.mRefusal.kind().executed()).isNotEqualTo(Executed.NO);
+            assertThat(submit("late", "crashing").mRefusal.kind())
+                    .isEqualTo(ErrorKind.CRASHING_REQUEST);
+        }
+    }
+
+    /** Tests requests that may have crashed a backend server. */
+    @Nested
+    class Guarded {
+        @Test
+        void secondRequestWithTheMarkWaitsForTheFirst() {
+            submit("c1", "part");
+            crash();
+            assertThat(mBackend.mOrders).hasSize(2);
+            RecordingSink second = submit("c2", "part");
+            assertThat(mBackend.mOrders).hasSize(2);
+            answer();
+            assertThat(mBackend.mOrders).hasSize(3);
+            answer();
+            assertThat(second.mComplete).isTrue();
+        }
+
+        @Test
+        void waitOfAGuardedRequestDoesNotBlockOthers() {
+            submit("c1", "part");
+            crash();
+            submit("c2", "part");
+            RecordingSink sound = submit("s1", "sound");
+            answer();
+            assertThat(sound.mComplete).isTrue();
+        }
+
+        @Test
+        void serverThatStreamsOnWhenAConnectionIsLostHasNotCrashed() {
+            submit("s0", "sound");
+            int first = mBackend.mListeners.size() - 1;
+            String server = mBackend.lastOrder().server().id().value();
+            mBackend.last().head(new AnswerHead(200, List.of()));
+            event(first, 1);
+            RecordingSink lost = null;
+            for (int i = 0; lost == null; i++) {
+                RecordingSink sink = submit("c" + i, "part" + i);
+                if (mBackend.lastOrder().server().id().value().equals(server)) {
+                    lost = sink;
+                } else {
+                    answer();
+                }
+            }
+            crash();
+            assertThat(mPool.crashes().guards(mBackend.lastOrder().request())).isTrue();
+            mNow.addAndGet(200 * MILLI);
+            event(first, 2);
+            assertThat(mPool.crashes().guards(mBackend.lastOrder().request())).isFalse();
+        }
+
+        private void event(int attempt, int id) {
+            String text = "id: " + id + "\ndata: x\n\n";
+            mBackend.mListeners
+                    .get(attempt)
+                    .content(ByteBuffer.wrap(text.getBytes(StandardCharsets.UTF_8)));
+        }
+    }
+}
--- a/router/src/test/java/org/magnoliaseam/gateway/CrashingPartReplayTest.java
+++ b/router/src/test/java/org/magnoliaseam/gateway/CrashingPartReplayTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.List;
@@ -96,7 +97,7 @@
                 like.method(),
                 like.target(),
                 like.headers(),
-                id.getBytes(java.nio.charset.StandardCharsets.UTF_8),
+                id.getBytes(StandardCharsets.UTF_8),
                 prompt,
                 "",
                 nanos,
