Keep error answers out of streams that have begun, and do not complete streams without events

Cause: the answer of a resumed attempt with a status of 300 or above is read as a whole body, and a whole body was passed on without a look at whether the caller had a part of a stream already. A 500 was repeated while attempts were left and passed on when none was; a 4xx was passed on at once. Likewise a 200 of another media type was split into events, and an answer that ends with its connection before its first event completed the stream.

Change: an answer that is no stream fails an attempt for the rest of one, so it is repeated or the stream is broken off. A stream without events is complete only if the caller has events and the answer states where it ends. AttemptAnswer holds how an answer is read, split from GatewayAttempt.

Why it works: what reaches the caller after the head of a stream now comes from events alone; the end is reported only by a stream that was read to its stated end. The relay of the chat path checks the status already.

--- a/router/src/main/java/org/magnoliaseam/gateway/CallPlacement.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/CallPlacement.java
@@ -192,6 +192,19 @@
         return mWait.attempted(mHistory.excluded().isEmpty());
     }
 
+    /**
+     * Tells whether the backend server of the attempt in progress has been silent for too long and
+     * another one may get the request.
+     *
+     * @param nowNanos the local monotonic time
+     * @return true if the attempt should be given up
+     */
+    boolean mayReplaceSilent(long nowNanos) {
+        return mAttempt.silent(nowNanos)
+                && mCall.request().route().idempotent()
+                && mHistory.allowsAnother(mCall.request().route());
+    }
+
     /** Counts the attempt in progress, which is about to be sent. */
     void sent() {
         mHistory.sent();
--- a/router/src/main/java/org/magnoliaseam/gateway/GatewayAttempt.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/GatewayAttempt.java
@@ -1,13 +1,11 @@
 package org.magnoliaseam.gateway;
 
-import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
-import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import org.magnoliaseam.backend.BackendFailure;
 import org.magnoliaseam.exchange.AnswerHead;
 import org.magnoliaseam.exchange.Cancellation;
-import org.magnoliaseam.gateway.EventSplitter.Event;
 import org.magnoliaseam.permit.PermitMessage;
 import org.magnoliaseam.permit.PermitOutcome;
 import org.magnoliaseam.pushback.NoticeFault;
@@ -36,11 +34,8 @@
     /** The number of the permit. */
     private final long mPermit;
 
-    /** Splits a stream into events. */
-    private final EventSplitter mSplitter = new EventSplitter();
-
-    /** The body of an answer that is not a stream. */
-    private final BodyBuffer mBody = new BodyBuffer();
+    /** Reads the answer. */
+    private final AttemptAnswer mAnswer;
 
     /** The arrival of the answer. */
     private final AttemptProgress mProgress;
@@ -48,12 +43,6 @@
     /** Cancels the exchange; null before it has started. */
     private Cancellation mCancellation;
 
-    /** Status and header fields; null before they have been received. */
-    private AnswerHead mHead;
-
-    /** Whether the answer is a stream of events. */
-    private boolean mStreamed;
-
     /** Whether the attempt has ended. */
     private boolean mEnded;
 
@@ -79,6 +68,7 @@
         mStart = start;
         mParts = parts;
         mOrder = order;
+        mAnswer = new AttemptAnswer(order);
         mFeedback = parts.pool().feedback(start, order.request());
         mPermit = parts.permits().nextId();
         mProgress = new AttemptProgress(order.request().route(), parts.clock().nanos());
@@ -262,39 +252,34 @@
 
     @Override
     public void head(AnswerHead head) {
-        mHead = head;
+        mAnswer.begin(head);
         if (!mPushedBack) {
             mFeedback.answered();
         }
-        mStreamed = mOrder.request().route().kind().streamed() && head.status() < 300;
     }
 
     @Override
     public CompletableFuture<Void> content(ByteBuffer bytes) {
-        if (!mStreamed) {
-            return mBody.add(bytes);
+        if (!mAnswer.streamed()) {
+            return mAnswer.add(bytes);
         }
-        List<Event> events = mSplitter.feed(bytes);
-        if (mSplitter.overflowed()) {
+        Optional<AttemptAnswer.Events> events = mAnswer.feed(bytes);
+        if (mAnswer.overflowed()) {
             return CompletableFuture.failedFuture(new IllegalStateException("event too large"));
         }
         if (events.isEmpty()) {
             return CompletableFuture.completedFuture(null);
         }
         recordProgress();
-        ByteArrayOutputStream joined = new ByteArrayOutputStream();
-        String lastId = "";
-        for (Event event : events) {
-            joined.writeBytes(event.bytes());
-            lastId = event.id().isEmpty() ? lastId : event.id();
-        }
-        return mCall.events(this, mHead, ByteBuffer.wrap(joined.toByteArray()), lastId);
+        AttemptAnswer.Events complete = events.get();
+        return mCall.events(this, mAnswer.head(), complete.bytes(), complete.lastId());
     }
 
     @Override
     public void ended() {
-        if (mStreamed && mSplitter.partial()) {
-            failed(BackendFailure.INCOMPLETE, "The stream ended inside an event.");
+        Optional<String> missing = mAnswer.missing();
+        if (missing.isPresent()) {
+            failed(BackendFailure.INCOMPLETE, missing.get());
             return;
         }
         if (!markEnded()) {
@@ -303,16 +288,16 @@
         survived();
         if (mPushedBack) {
             mFeedback.ended();
-        } else if (mHead.status() >= 500) {
+        } else if (mAnswer.isServerError()) {
             mFeedback.failed(BackendFailure.SERVER_ERROR);
         } else {
             mFeedback.succeeded();
         }
         mParts.waiting().drain();
-        if (mStreamed) {
-            mCall.streamEnded(this, mHead);
+        if (mAnswer.streamed()) {
+            mCall.streamEnded(this, mAnswer.head());
         } else {
-            mCall.answered(this, mHead, mBody.bytes());
+            mCall.answered(this, mAnswer.head(), mAnswer.body());
         }
     }
 
--- a/router/src/main/java/org/magnoliaseam/gateway/GatewayCall.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/GatewayCall.java
@@ -122,9 +122,7 @@
             if (mPlacement.waiting().expired()) {
                 fail(mPlacement.waiting().kind());
             }
-        } else if (mPlacement.attempt().silent(now)
-                && mRequest.route().idempotent()
-                && mPlacement.history().allowsAnother(mRequest.route())) {
+        } else if (mPlacement.mayReplaceSilent(now)) {
             record(StepKind.SILENT, mPlacement.attempt(), "");
             giveUpRunning();
         }
@@ -135,7 +133,7 @@
         mActions.decide(
                 () -> {
                     if (!mEnded) {
-                        mRecord.add(StepKind.CALLER_GONE, "", "", now());
+                        mRecord.add(StepKind.CALLER_GONE, "", "", mParts.clock().nanos());
                         giveUpRunning();
                         end("caller_gone");
                     }
@@ -160,7 +158,7 @@
      * @param detail the inputs of the decision or the cause of the failure
      */
     private void record(StepKind kind, GatewayAttempt attempt, String detail) {
-        mRecord.add(kind, attempt.server().id().value(), detail, now());
+        mRecord.add(kind, attempt.server().id().value(), detail, mParts.clock().nanos());
     }
 
     /** Gives up the attempt in progress if there is one. */
@@ -195,6 +193,11 @@
                     if (isNotCurrent(from)) {
                         return;
                     }
+                    if (mAnswer.begun()) {
+                        String detail = "status=" + head.status() + " for the rest of a stream";
+                        onFailure(from, BackendFailure.SERVER_ERROR, detail);
+                        return;
+                    }
                     mPlacement.history().countPossibleRun();
                     record(StepKind.ANSWERED, from, "status=" + head.status());
                     mPlacement.clear();
@@ -375,15 +378,6 @@
         end((mAnswer.begun() ? "broken_off_" : "refused_") + reported.text());
     }
 
-    /**
-     * Returns the current time.
-     *
-     * @return the local monotonic time
-     */
-    private long now() {
-        return mParts.clock().nanos();
-    }
-
     /**
      * Writes the log record and ends the request.
      *
@@ -392,7 +386,7 @@
     private void end(String outcome) {
         mEnded = true;
         mPlacement.end();
-        mParts.log().ended(mRecord, outcome, now());
+        mParts.log().ended(mRecord, outcome, mParts.clock().nanos());
         mOnEnd.accept(this);
     }
 }
