Do not read a refusal that a server repeats on a kept connection as one of the next send

Cause: answers are matched by the id of the request. The same request goes to the same server again after a refusal that asks for a pause, or to another server at the address after a 421; if it goes over the same connection, a repeated refusal has the right id and is read as the answer to the second send. Refusals of other requests were rejected already, also those without an id.

Found beside it: a 408, 429 or 503 without the server's statement that nothing ran was passed on to the caller of a request that may run once, who reads it as that promise.

Change: the connection is closed after a refusal that asks for a pause and after a 421. Usual refusals keep theirs, since their server gets the request no more. The three statuses without the statement count as server errors for requests that may run once (502 to the caller, run unknown).

Why it works: a request is never sent twice over one connection, so that no earlier answer can have its id.

--- a/router/src/main/java/org/magnoliaseam/platform/ServerExchange.java
+++ b/router/src/main/java/org/magnoliaseam/platform/ServerExchange.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
 import org.eclipse.jetty.client.Connection;
 import org.eclipse.jetty.client.Request;
 import org.eclipse.jetty.client.Response;
@@ -33,9 +34,19 @@
     /** The value of the header field of a backend server that is leaving. */
     private static final String LEAVING = "1";
 
+    /** The statuses that callers read as a statement that the request did not run. */
+    private static final Set<Integer> NOT_RUN_STATUSES =
+            Set.of(
+                    HttpStatus.REQUEST_TIMEOUT_408,
+                    HttpStatus.TOO_MANY_REQUESTS_429,
+                    HttpStatus.SERVICE_UNAVAILABLE_503);
+
     /** The request. */
     private final RequestId mId;
 
+    /** Whether the request may run more than once. */
+    private final boolean mRepeatable;
+
     /** Receives the response. */
     private final AttemptListener mListener;
 
@@ -54,6 +65,9 @@
     /** The connection of the response; null before the header fields arrive. */
     private volatile Connection mConnection;
 
+    /** Whether the backend server asked for no requests for a time. */
+    private volatile boolean mPushedBack;
+
     /** Describes {@link #mFailure} in one sentence. */
     private volatile String mDetail = "";
 
@@ -61,10 +75,12 @@
      * Creates an exchange.
      *
      * @param id the request
+     * @param repeatable whether it may run more than once
      * @param listener receives the response
      */
-    ServerExchange(RequestId id, AttemptListener listener) {
+    ServerExchange(RequestId id, boolean repeatable, AttemptListener listener) {
         mId = id;
+        mRepeatable = repeatable;
         mListener = listener;
         mBodyReader = new ResponseBodyReader(listener, () -> mFailure != null);
     }
@@ -101,11 +117,15 @@
             notices(fields, status);
         }
         if (status == HttpStatus.MISDIRECTED_REQUEST_421) {
-            mFailure = BackendFailure.REFUSED;
-            mDetail = "Another backend server has the address.";
+            markUnusable(
+                    response, BackendFailure.REFUSED, "Another backend server has the address.");
         } else if (fields.contains(WireNames.NOT_EXECUTED)) {
-            mFailure = BackendFailure.REFUSED;
-            mDetail = "The backend server refused before the start, status " + status + ".";
+            refused(response, status);
+        } else if (!mRepeatable && NOT_RUN_STATUSES.contains(status)) {
+            markUnusable(
+                    response,
+                    BackendFailure.SERVER_ERROR,
+                    "The status " + status + " came without the statement that nothing ran.");
         } else if (HttpStatus.isSuccess(status) && !fields.contains(WireNames.SIGNATURE)) {
             markUnusable(response, BackendFailure.MISMATCHED, "The answer has no signature.");
         } else if (fields.contains(HttpHeader.CONTENT_ENCODING)) {
@@ -160,6 +180,24 @@
                 && endPoint.wasReset();
     }
 
+    /**
+     * Records that the backend server refused the request before it started it. The connection is
+     * closed if the request may be sent there again, since a faulty server may write the refusal
+     * once more.
+     *
+     * @param response the response
+     * @param status its status
+     */
+    private void refused(Response response, int status) {
+        String detail = "The backend server refused before the start, status " + status + ".";
+        if (mPushedBack) {
+            markUnusable(response, BackendFailure.REFUSED, detail);
+        } else {
+            mFailure = BackendFailure.REFUSED;
+            mDetail = detail;
+        }
+    }
+
     /**
      * Marks the response as unusable and aborts it, which closes its connection.
      *
@@ -189,6 +227,7 @@
         PushbackNotice delay = RetryDelay.read(fields, status);
         delay.fault().ifPresent(mListener::faultyNotice);
         if (delay.millis() > 0) {
+            mPushedBack = true;
             mListener.pushback(delay.millis());
         }
     }
--- a/router/src/main/java/org/magnoliaseam/platform/ServerProtocol.java
+++ b/router/src/main/java/org/magnoliaseam/platform/ServerProtocol.java
@@ -90,7 +90,8 @@
         }
         request.timeout(remainingMillis + DEADLINE_SLACK_MILLIS, TimeUnit.MILLISECONDS);
         request.idleTimeout(remainingMillis + DEADLINE_SLACK_MILLIS, TimeUnit.MILLISECONDS);
-        ServerExchange exchange = new ServerExchange(callerRequest.id(), listener);
+        boolean repeatable = callerRequest.route().idempotent();
+        ServerExchange exchange = new ServerExchange(callerRequest.id(), repeatable, listener);
         request.onRequestBegin(exchange::sending);
         request.onResponseHeaders(exchange::head);
         request.onResponseHeaders(this::adjustIdleTimeout);
