Refuse entries of backend servers with numbers out of range

Cause: numbers were checked for their sign alone, and cast after that; the port was checked by the class of the address, which takes 0; a host name was looked up when a request was sent.

Change: whole numbers within a range by key, an IP address of either version with a port from 1. A stack overflow while a change is applied no longer ends the watch.

Why it works: nothing of an entry is used unless all its fields have values that the router can work with; the refusal names the key in the log.

--- a/router/src/main/java/org/magnoliaseam/platform/PlatformFeed.java
+++ b/router/src/main/java/org/magnoliaseam/platform/PlatformFeed.java
@@ -165,7 +165,7 @@
     private void apply(StoreItem item) {
         try {
             applyItem(item);
-        } catch (RuntimeException e) {
+        } catch (RuntimeException | StackOverflowError e) {
             LOG.error("store: change refused, key={} revision={}", item.key(), item.revision(), e);
         }
         mPublished.applied(item.revision());
--- a/router/src/main/java/org/magnoliaseam/platform/ServerDecoder.java
+++ b/router/src/main/java/org/magnoliaseam/platform/ServerDecoder.java
@@ -4,6 +4,8 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 import org.magnoliaseam.catalog.ServerEntry;
 import org.magnoliaseam.error.Result;
 import org.magnoliaseam.model.BackendServerId;
@@ -13,6 +15,26 @@
 /** Decodes the entry that a backend server registers for itself. */
 final class ServerDecoder {
 
+    /** The largest accepted number of slots. */
+    private static final int MAX_SLOTS = 1_000_000;
+
+    /** The longest accepted cold start in milliseconds. */
+    private static final double MAX_COLD_MILLIS = 86_400_000;
+
+    /** The largest accepted start mark, which leaves room for comparisons. */
+    private static final long MAX_START_MARK = Long.MAX_VALUE / 2;
+
+    /** The largest port. */
+    private static final int MAX_PORT = 65_535;
+
+    /** An octet of an IP address. */
+    private static final String OCTET = "(?:25[0-5]|2[0-4]\\d|1?\\d?\\d)";
+
+    /** Matches an IP address of version 4, or one of version 6 in brackets, with a port. */
+    private static final Pattern ADDRESS =
+            Pattern.compile(
+                    "(" + OCTET + "(?:[.]" + OCTET + "){3}|\\[[0-9A-Fa-f:.]{2,45}\\]):(\\d{1,5})");
+
     /** Parses JSON. */
     private static final ObjectMapper MAPPER = new ObjectMapper();
 
@@ -54,10 +76,10 @@
                 new ServiceName(text(node, "service")),
                 address(text(node, "address")),
                 new FailureDomain(text(node, "zone")),
-                (int) wholeNumber(node, "slots", true),
+                (int) wholeNumber(node, "slots", MAX_SLOTS),
                 draining,
-                wholeNumber(node, "cold_remaining_ms", false),
-                wholeNumber(node, "born", false));
+                (long) number(node, "cold_remaining_ms", MAX_COLD_MILLIS),
+                node.has("born") ? wholeNumber(node, "born", MAX_START_MARK) : 0);
     }
 
     /**
@@ -76,22 +98,43 @@
     }
 
     /**
-     * Reads a number that must not be negative.
+     * Reads a whole number.
      *
      * @param node the JSON object
      * @param key the key
-     * @param required whether it must be present
-     * @return the number without its fraction; 0 if it is absent
+     * @param max the largest accepted number
+     * @return the number, from 0 to the largest
      */
-    private static long wholeNumber(JsonNode node, String key, boolean required) {
+    private static long wholeNumber(JsonNode node, String key, long max) {
         JsonNode value = node.path(key);
-        boolean absent = value.isMissingNode() && !required;
-        if (!absent && (!value.isNumber() || value.asDouble() < 0)) {
-            throw new IllegalArgumentException(key + " is not a non-negative number");
+        if (!value.isIntegralNumber()
+                || !value.canConvertToLong()
+                || value.asLong() < 0
+                || value.asLong() > max) {
+            throw new IllegalArgumentException(key + " is not a whole number from 0 to " + max);
         }
         return value.asLong();
     }
 
+    /**
+     * Reads an optional number.
+     *
+     * @param node the JSON object
+     * @param key the key
+     * @param max the largest accepted number
+     * @return the number, from 0 to the largest; 0 if it is absent
+     */
+    private static double number(JsonNode node, String key, double max) {
+        JsonNode value = node.path(key);
+        if (value.isMissingNode()) {
+            return 0;
+        }
+        if (!value.isNumber() || !(value.asDouble() >= 0 && value.asDouble() <= max)) {
+            throw new IllegalArgumentException(key + " is not a number from 0 to " + max);
+        }
+        return value.asDouble();
+    }
+
     /**
      * Parses an address.
      *
@@ -99,15 +142,14 @@
      * @return the address
      */
     private static InetSocketAddress address(String text) {
-        int colon = text.lastIndexOf(':');
-        if (colon <= 0) {
+        Matcher matcher = ADDRESS.matcher(text);
+        if (!matcher.matches()) {
             throw new IllegalArgumentException("address is not an IP address with a port");
         }
-        try {
-            int port = Integer.parseInt(text.substring(colon + 1));
-            return InetSocketAddress.createUnresolved(text.substring(0, colon), port);
-        } catch (IllegalArgumentException e) {
-            throw new IllegalArgumentException("address has no valid port", e);
+        int port = Integer.parseInt(matcher.group(2));
+        if (port == 0 || port > MAX_PORT) {
+            throw new IllegalArgumentException("address has no valid port");
         }
+        return InetSocketAddress.createUnresolved(matcher.group(1), port);
     }
 }
--- a/router/src/test/java/org/magnoliaseam/platform/DecodersTest.java
+++ b/router/src/test/java/org/magnoliaseam/platform/DecodersTest.java
@@ -3,12 +3,15 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.nio.charset.StandardCharsets;
+import java.util.concurrent.atomic.AtomicReference;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.IntRange;
 import org.eclipse.jetty.http.HttpFields;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.magnoliaseam.catalog.Catalog;
 import org.magnoliaseam.catalog.RequestKind;
 import org.magnoliaseam.catalog.ServerEntry;
@@ -45,6 +48,10 @@
                 new BackendServerId("i-1"), text.getBytes(StandardCharsets.UTF_8));
     }
 
+    private static String outcome(String entry) {
+        return server(entry).fold(found -> "decoded", error -> error);
+    }
+
     private static String corrupt(String text, int position, char value) {
         int at = position % text.length();
         return text.substring(0, at) + value + text.substring(at + 1);
@@ -107,6 +114,60 @@
             assertThat(entry.address().getPort()).isEqualTo(8080);
         }
 
+        @ParameterizedTest
+        @ValueSource(
+                strings = {
+                    "\"slots\":1e999999",
+                    "\"slots\":4294967296",
+                    "\"slots\":9223372036854775808",
+                    "\"slots\":-1",
+                    "\"slots\":1.5",
+                    "\"cold_remaining_ms\":1e999999",
+                    "\"cold_remaining_ms\":9223372036854775807",
+                    "\"born\":1e999999",
+                    "\"born\":18446744073709551616",
+                    "\"born\":17.5",
+                    "\"address\":\"10.0.0.9:0\"",
+                    "\"address\":\"10.0.0.9:65536\"",
+                    "\"address\":\"10.0.0.9:-1\"",
+                    "\"address\":\"10.0.0.999:80\"",
+                    "\"address\":\"host.example:80\"",
+                    "\"address\":\"10.0.0:80\"",
+                    "\"address\":\"10.0.0.9.1:80\"",
+                    "\"address\":\"[::1:80\""
+                })
+        void entryWithANumberOutOfRangeIsRefusedByItsKey(String field) {
+            String key = field.substring(1, field.indexOf('"', 1));
+            String entry = SERVER.replaceAll("\"" + key + "\":(\"[^\"]*\"|\\d+)", field);
+            assertThat(entry).contains(field);
+            assertThat(outcome(entry)).contains(key);
+        }
+
+        @ParameterizedTest
+        @ValueSource(ints = {500, 5_000, 100_000})
+        void deeplyNestedEntryIsDecodedOrRefusedOnASmallStack(int depth) throws Exception {
+            String nested = "[".repeat(depth) + "]".repeat(depth);
+            String entry = SERVER.replace("\"sequence\":4", "\"sequence\":" + nested);
+            AtomicReference<String> outcome = new AtomicReference<>("the thread ended");
+            Runnable decode = () -> outcome.set(outcome(entry));
+            Thread thread = new Thread(null, decode, "small stack", 256 * 1024);
+            thread.start();
+            thread.join();
+            assertThat(outcome.get()).isIn("decoded", "not JSON");
+        }
+
+        @ParameterizedTest
+        @ValueSource(strings = {"255.249.199.9:65535", "10.0.0.200:1", "[fd00::9]:8080"})
+        void addressOfEitherVersionIsDecoded(String address) {
+            assertThat(outcome(SERVER.replace("10.0.0.9:8080", address))).isEqualTo("decoded");
+        }
+
+        @Test
+        void hugeNumberInAnUnusedFieldDoesNotMatter() {
+            String entry = SERVER.replace("\"sequence\":4", "\"sequence\":1e999999");
+            assertThat(outcome(entry)).isEqualTo("decoded");
+        }
+
         @Test
         void unknownStateIsRefused() {
             String reason =
--- a/router/src/test/java/org/magnoliaseam/platform/PlatformFeedTest.java
+++ b/router/src/test/java/org/magnoliaseam/platform/PlatformFeedTest.java
@@ -21,6 +21,8 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.magnoliaseam.catalog.Catalog;
 import org.magnoliaseam.gateway.CurrentCatalog;
 import org.magnoliaseam.gateway.PublishedRevision;
@@ -235,6 +237,32 @@
         }
     }
 
+    /** Tests an odd entry of another writer among those of the backend servers. */
+    @Nested
+    class OddEntry {
+        private static final int DEPTH = 200_000;
+
+        @ParameterizedTest
+        @ValueSource(
+                strings = {
+                    "nested",
+                    "{\"slots\":1e999999}",
+                    "{\"address\":\"127.0.0.1:99999999999\"}",
+                    "{\"state\":[[]],\"service\":{}}",
+                    "\u0000\u0001",
+                    ""
+                })
+        void othersHoldAndTheStoreIsFollowedOn(String value) {
+            String entry = value.equals("nested") ? "[".repeat(DEPTH) + "]".repeat(DEPTH) : value;
+            mMoreItems = item("servers/odd", entry, 11) + ",";
+            mVersion = 2;
+            await().atMost(Duration.ofSeconds(1)).until(() -> version() == 2);
+            mVersion = 3;
+            await().atMost(Duration.ofSeconds(1)).until(() -> version() == 3);
+            assertThat(mPool.size()).isEqualTo(1);
+        }
+    }
+
     /** Tests a store that is silent for some time. */
     @Nested
     class Silent {
