Keep requests that may crash engines apart over all entry VMs

Cause: requests were isolated at each entry VM alone, and all chose the engine with the fewest requests.

Change: the question for a permit says whether the request is guarded; the home of an engine grants one guarded request at a time (format 7 of permit messages, as 6 is that of digests now). A refused one leaves no claim and keeps the entry VM from that engine for 50 ms, without which a refusal by the own home was asked again without end (seen: a test that did not end). The engine is drawn at random.

--- a/router/src/main/java/org/magnoliaseam/gateway/BackendServerState.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/BackendServerState.java
@@ -7,6 +7,7 @@
 import org.magnoliaseam.catalog.Service;
 import org.magnoliaseam.membership.StableHash;
 import org.magnoliaseam.model.BackendServerId;
+import org.magnoliaseam.model.RequestId;
 import org.magnoliaseam.placement.PromptTimeModel;
 import org.magnoliaseam.pushback.NoticeFault;
 import org.magnoliaseam.pushback.ServerPushback;
@@ -129,6 +130,17 @@
         return mHash;
     }
 
+    /**
+     * Draws a number that places the backend server in an order, another one each time.
+     *
+     * @param request the request to order the backend servers for
+     * @param nowNanos the local monotonic time
+     * @return the number
+     */
+    long draw(RequestId request, long nowNanos) {
+        return StableHash.mix(mHash ^ StableHash.of(request.value() + nowNanos, 0));
+    }
+
     /**
      * Returns the published entry.
      *
--- a/router/src/main/java/org/magnoliaseam/gateway/CrashGuard.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/CrashGuard.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import org.magnoliaseam.leaving.ServerIncarnation;
 import org.magnoliaseam.membership.StableHash;
 import org.magnoliaseam.model.BackendServerId;
@@ -28,6 +29,12 @@
     /** The largest number of prompt parts of a request that are considered, the last ones. */
     private static final int MAX_PARTS = 15;
 
+    /**
+     * The time for which a backend server gets no guarded request after another entry VM had one
+     * there, in nanoseconds.
+     */
+    private static final long BUSY_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
+
     /** Selects the hash of starts of backend servers. */
     private static final int SERVER_SEED = 5;
 
@@ -43,6 +50,9 @@
     /** The marks of the guarded attempts in progress, by backend server. */
     private final Map<BackendServerId, Set<RequestMark>> mRunning = new HashMap<>();
 
+    /** The local monotonic time before which a backend server gets no guarded request. */
+    private final Map<BackendServerId, Long> mNotBefore = new HashMap<>();
+
     /** The clock. */
     private final MonotonicClock mClock;
 
@@ -141,8 +151,8 @@
     }
 
     /**
-     * Selects the backend servers that may get a guarded request: those that run no other one of
-     * this entry VM, and none while a request with a mark in common runs.
+     * Selects the backend servers that may get a guarded request: those that run no other one, as
+     * far as is known, and none while a request of this entry VM with a mark in common runs.
      *
      * @param request the request
      * @param candidates the backend servers with a free slot
@@ -153,9 +163,23 @@
         Set<RequestMark> marks = marks(request);
         boolean runs =
                 mRunning.values().stream().anyMatch(other -> !Collections.disjoint(other, marks));
+        long now = mClock.nanos();
+        mNotBefore.values().removeIf(until -> now - until >= 0);
         return runs
                 ? List.of()
-                : candidates.stream().filter(state -> !mRunning.containsKey(state.id())).toList();
+                : candidates.stream()
+                        .filter(state -> !mRunning.containsKey(state.id()))
+                        .filter(state -> !mNotBefore.containsKey(state.id()))
+                        .toList();
+    }
+
+    /**
+     * Records that a backend server may not get a guarded request for a moment.
+     *
+     * @param server the backend server
+     */
+    synchronized void busy(BackendServerId server) {
+        mNotBefore.put(server, mClock.nanos() + BUSY_NANOS);
     }
 
     /**
--- a/router/src/main/java/org/magnoliaseam/gateway/GatewayAttempt.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/GatewayAttempt.java
@@ -88,7 +88,8 @@
                                 mOrder.request().priority(),
                                 mStart.uncachedTokens(),
                                 mStart.limits().own(),
-                                mStart.limits().shared()),
+                                mStart.limits().shared(),
+                                mStart.guarded()),
                         this::permitAnswered);
     }
 
--- a/router/src/main/java/org/magnoliaseam/gateway/ServerFeedback.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/ServerFeedback.java
@@ -92,6 +92,10 @@
      * @param tokens the prompt tokens that wait there
      */
     void permitRefused(long tokens) {
+        if (mStart.guarded()) {
+            mPool.crashes().busy(server().id());
+            return;
+        }
         synchronized (mPool) {
             server().backlog().refused(tokens, mClock.nanos());
         }
--- a/router/src/main/java/org/magnoliaseam/gateway/ServerPool.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/ServerPool.java
@@ -222,8 +222,8 @@
     }
 
     /**
-     * Selects a backend server for a request that may crash it: of those without another guarded
-     * request the one with the fewest requests, which a crash would interrupt.
+     * Selects a backend server for a request that may crash it, at random so that requests of
+     * several entry VMs that may crash it meet on few.
      *
      * @param request the request
      * @param candidates the backend servers that have a free slot
@@ -238,7 +238,7 @@
                         .toList();
         Optional<BackendServerState> chosen =
                 isolated.stream()
-                        .min(Comparator.comparingInt(state -> state.occupied(mPeerLoads, now)));
+                        .min(Comparator.comparingLong(state -> state.draw(request.id(), now)));
         if (chosen.isEmpty()) {
             return new ServerChoice.Wait(ErrorKind.OVERLOADED, false, true, now, 0);
         }
--- a/router/src/main/java/org/magnoliaseam/permit/EngineLedger.java
+++ b/router/src/main/java/org/magnoliaseam/permit/EngineLedger.java
@@ -56,9 +56,10 @@
      * Holds a permit.
      *
      * @param tokens its prompt tokens
+     * @param guarded whether no other guarded request may be at the engine
      * @param nanos the local monotonic time of the grant
      */
-    private record Permit(long tokens, long nanos) {}
+    private record Permit(long tokens, boolean guarded, long nanos) {}
 
     /**
      * Holds a claim.
@@ -81,12 +82,15 @@
         mAskedNanos = nowNanos;
         long waiting = waitingTokens(nowNanos);
         mUsers.put(ask.priority(), nowNanos);
-        boolean granted = waiting <= limit(ask, nowNanos) && !isClaimed(ask.priority(), nowNanos);
+        boolean isolated = !ask.guarded() || isIsolated(new Holder(vm, ask.id()));
+        boolean granted =
+                isolated && waiting <= limit(ask, nowNanos) && !isClaimed(ask.priority(), nowNanos);
         if (granted) {
             mGranted++;
             mClaims.remove(vm);
-            mPermits.put(new Holder(vm, ask.id()), new Permit(ask.tokens(), nowNanos));
-        } else {
+            mPermits.put(
+                    new Holder(vm, ask.id()), new Permit(ask.tokens(), ask.guarded(), nowNanos));
+        } else if (isolated) {
             Claim own = mClaims.get(vm);
             boolean expired = own == null || nowNanos - own.nanos() > CLAIM_NANOS;
             if (expired || ask.priority() <= own.priority()) {
@@ -96,6 +100,17 @@
         return new PermitMessage.Reply(ask.id(), granted, waiting);
     }
 
+    /**
+     * Tells whether no other guarded request has a permit.
+     *
+     * @param holder identifies the request that asks
+     * @return true if it may be at the engine
+     */
+    private boolean isIsolated(Holder holder) {
+        return mPermits.entrySet().stream()
+                .noneMatch(entry -> entry.getValue().guarded() && !entry.getKey().equals(holder));
+    }
+
     /**
      * Returns the limit of waiting prompts for a question.
      *
--- a/router/src/main/java/org/magnoliaseam/permit/PermitCodec.java
+++ b/router/src/main/java/org/magnoliaseam/permit/PermitCodec.java
@@ -11,7 +11,7 @@
 public final class PermitCodec {
 
     /** The version of the format, which differs from that of digests in the same port. */
-    private static final int FORMAT = 3;
+    private static final int FORMAT = 7;
 
     /** Lists the messages by their number in the format. */
     private enum Kind {
@@ -44,6 +44,7 @@
                 packer.packLong(ask.tokens());
                 packer.packLong(ask.limitTokens());
                 packer.packLong(ask.sharedLimitTokens());
+                packer.packBoolean(ask.guarded());
             } else if (message instanceof PermitMessage.Reply reply) {
                 packer.packInt(Kind.REPLY.ordinal());
                 packer.packLong(reply.id());
@@ -95,7 +96,8 @@
                                 unpacker.unpackInt(),
                                 unpacker.unpackLong(),
                                 unpacker.unpackLong(),
-                                unpacker.unpackLong());
+                                unpacker.unpackLong(),
+                                unpacker.unpackBoolean());
                 case REPLY ->
                         new PermitMessage.Reply(
                                 id, unpacker.unpackBoolean(), unpacker.unpackLong());
--- a/router/src/main/java/org/magnoliaseam/permit/PermitMessage.java
+++ b/router/src/main/java/org/magnoliaseam/permit/PermitMessage.java
@@ -21,6 +21,8 @@
      * @param tokens the prompt tokens that the engine will have to process
      * @param limitTokens the prompt tokens that may wait there before them
      * @param sharedLimitTokens the same if more urgent requests use the engine as well
+     * @param guarded whether the request must not be at the engine together with another guarded
+     *     one
      */
     record Ask(
             long id,
@@ -28,7 +30,8 @@
             int priority,
             long tokens,
             long limitTokens,
-            long sharedLimitTokens)
+            long sharedLimitTokens,
+            boolean guarded)
             implements PermitMessage {}
 
     /**
--- a/router/src/test/java/org/magnoliaseam/permit/PermitTest.java
+++ b/router/src/test/java/org/magnoliaseam/permit/PermitTest.java
@@ -33,7 +33,7 @@
     }
 
     private static PermitMessage.Ask ask(long id, int priority, long tokens, long limit) {
-        return new PermitMessage.Ask(id, ENGINE, priority, tokens, limit, limit);
+        return new PermitMessage.Ask(id, ENGINE, priority, tokens, limit, limit, false);
     }
 
     /** Tests the count of waiting prompts. */
@@ -81,12 +81,23 @@
 
         @Test
         void sharedLimitHoldsWhileMoreUrgentRequestsUseTheEngine() {
-            PermitMessage.Ask less = new PermitMessage.Ask(1, ENGINE, 2, 100, 5000, 500);
+            PermitMessage.Ask less = new PermitMessage.Ask(1, ENGINE, 2, 100, 5000, 500, false);
             mLedger.ask(FIRST, ask(1, 0, 600, 500), 0);
             assertThat(mLedger.ask(SECOND, less, MILLI).granted()).isFalse();
             assertThat(mLedger.ask(SECOND, less, 2001 * MILLI).granted()).isTrue();
         }
 
+        @Test
+        void oneGuardedRequestOfAllVmsIsAtAnEngine() {
+            PermitMessage.Ask guarded = new PermitMessage.Ask(1, ENGINE, 1, 10, 500, 500, true);
+            assertThat(mLedger.ask(FIRST, guarded, 0).granted()).isTrue();
+            assertThat(mLedger.ask(FIRST, guarded, 0).granted()).isTrue();
+            assertThat(mLedger.ask(SECOND, guarded, 0).granted()).isFalse();
+            assertThat(mLedger.ask(SECOND, ask(2, 2, 10, 500), 0).granted()).isTrue();
+            mLedger.done(FIRST, new PermitMessage.Done(1, ENGINE));
+            assertThat(mLedger.ask(SECOND, guarded, 0).granted()).isTrue();
+        }
+
         @Test
         void withdrawnClaimNoLongerCounts() {
             mLedger.ask(FIRST, ask(1, 0, 600, 500), 0);
@@ -181,7 +192,9 @@
             for (int engine = 0; engine < 20; engine++) {
                 BackendServerId server = new BackendServerId("e" + engine);
                 mVms.get(FIRST)
-                        .ask(new PermitMessage.Ask(engine, server, 0, 1, 1, 1), mOutcomes::add);
+                        .ask(
+                                new PermitMessage.Ask(engine, server, 0, 1, 1, 1, false),
+                                mOutcomes::add);
             }
             mNow.addAndGet(25 * MILLI);
             mVms.get(FIRST).tick();
