--- a/router/src/test/java/org/magnoliaseam/platform/EndlessAnswerTest.java
+++ b/router/src/test/java/org/magnoliaseam/platform/EndlessAnswerTest.java
@@ -14,7 +14,7 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.TimeoutException;
 import org.eclipse.jetty.client.HttpClient;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -52,8 +52,6 @@
 
     private ServerSocket mServer;
 
-    private final AtomicLong mWritten = new AtomicLong();
-
     /** Lists the answers. */
     enum Endless {
         HEADER_LINE(HEAD + "X-Long: ", "aaaaaaaaaaaaaaaa"),
@@ -81,7 +79,6 @@
 
     private static final class RecordingListener implements AttemptListener {
         private final CompletableFuture<String> mEnd = new CompletableFuture<>();
-        private final AtomicLong mBody = new AtomicLong();
 
         @Override
         public boolean sending() {
@@ -93,7 +90,6 @@
 
         @Override
         public CompletableFuture<Void> content(ByteBuffer bytes) {
-            mBody.addAndGet(bytes.remaining());
             return CompletableFuture.completedFuture(null);
         }
 
@@ -142,7 +138,6 @@
             byte[] repeated = answer.mRepeated.repeat(64).getBytes(StandardCharsets.US_ASCII);
             while (true) {
                 out.write(repeated);
-                mWritten.addAndGet(repeated.length);
             }
         } catch (IOException e) {
             // The connection was closed.
@@ -199,30 +194,12 @@
     void connectionIsClosed(Endless answer) throws Exception {
         CompletableFuture<Void> served = CompletableFuture.runAsync(() -> serve(answer));
         RecordingListener listener = new RecordingListener();
-        long begin = System.nanoTime();
         new ServerProtocol(mClient, System::nanoTime).start(order(), listener);
-        String end;
-        try {
-            end = listener.mEnd.get(8, TimeUnit.SECONDS);
-        } catch (java.util.concurrent.TimeoutException e) {
-            end = "NO END";
-        }
-        long ended = System.nanoTime();
-        String closed = "closed";
         try {
-            served.get(3, TimeUnit.SECONDS);
-        } catch (java.util.concurrent.TimeoutException e) {
-            closed = "OPEN";
+            listener.mEnd.get(8, TimeUnit.SECONDS);
+        } catch (TimeoutException e) {
+            // The connection is checked below.
         }
-        System.out.printf(
-                "DBG %s: %s after %d ms, %s %d ms later, %d bytes, body %d%n",
-                answer,
-                end,
-                (ended - begin) / 1_000_000,
-                closed,
-                (System.nanoTime() - ended) / 1_000_000,
-                mWritten.get(),
-                listener.mBody.get());
-        assertThat(closed).isEqualTo("closed");
+        assertThat(served).succeedsWithin(3, TimeUnit.SECONDS);
     }
 }
