Tell the other entry VMs of a crash at once, however many requests were lost at others

Cause: a digest held 16 lost requests, the oldest first, each in three digests; up to 16 requests of a crash are kept, so that the reports of one crash waited behind those of two others and of the entry VMs that pass them on.

Change: a digest holds 64 lost requests, all that are kept of four crashes (less than 6 KB, only after crashes).

Why it works: nothing waits unless more than four servers end within three digests.

--- a/router/src/main/java/org/magnoliaseam/gateway/CrashReports.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/CrashReports.java
@@ -14,7 +14,13 @@
 /** Collects what the other entry VMs are told of crashes of backend servers. Not thread-safe. */
 final class CrashReports {
 
-    /** The largest number of notices of each kind in a digest. */
+    /**
+     * The largest number of unanswered requests in a digest: those of four crashes, so that the
+     * requests of one crash do not delay those of the next.
+     */
+    private static final int MAX_CRASH_NOTICES = 64;
+
+    /** The largest number of notices of each other kind in a digest. */
     private static final int MAX_NOTICES = 16;
 
     /** The interval at which notices of causes in force are sent again, in nanoseconds. */
@@ -29,7 +35,7 @@
     private record Report(long server, Set<RequestMark> marks) {}
 
     /** The unanswered requests. */
-    private final RepeatedItems<Report> mCrashes = new RepeatedItems<>(MAX_NOTICES);
+    private final RepeatedItems<Report> mCrashes = new RepeatedItems<>(MAX_CRASH_NOTICES);
 
     /** The marks of answered requests. */
     private final RepeatedItems<RequestMark> mAnswers = new RepeatedItems<>(MAX_NOTICES);
--- a/router/src/test/java/org/magnoliaseam/gateway/CrashGuardCallTest.java
+++ b/router/src/test/java/org/magnoliaseam/gateway/CrashGuardCallTest.java
@@ -159,6 +159,28 @@
         }
     }
 
+    /** Tests what the other entry VMs are told. */
+    @Nested
+    class News {
+        @Test
+        void crashIsToldAtOnceThoughManyRequestsWereLostAtTheOnesBefore() {
+            CrashGuard here = new CrashGuard(mNow::get);
+            CrashGuard there = new CrashGuard(mNow::get);
+            for (int crash = 0; crash < 3; crash++) {
+                mNow.addAndGet(200 * MILLI);
+                ServerIncarnation server =
+                        new ServerIncarnation(new BackendServerId("x" + crash), 1);
+                for (int i = 0; i < 15; i++) {
+                    String id = crash + "-" + i;
+                    here.lost(server, request(id, "part" + id), mNow.get() - MILLI);
+                }
+                here.lost(server, request("c" + crash, "crashing"), mNow.get() - MILLI);
+            }
+            there.heard(here.news(3));
+            assertThat(there.refuses(request("c9", "crashing"))).isTrue();
+        }
+    }
+
     /** Tests requests that may have crashed a backend server. */
     @Nested
     class Guarded {
