--- a/router/src/test/java/org/magnoliaseam/gateway/CrashGuardCallTest.java
+++ b/router/src/test/java/org/magnoliaseam/gateway/CrashGuardCallTest.java
@@ -131,6 +131,24 @@
             assertThat(mBackend.mOrders).hasSize(3);
         }
 
+        @Test
+        void plainRequestThatIsSentAgainIsRefusedAfterTheThirdCrash() {
+            for (String id : List.of("x", "y", "z", "w")) {
+                mPool.publishedServers().add(server(id, GatewayFixtures.DESK, false));
+            }
+            RecordingSink sink = null;
+            for (int sent = 1; sent <= 6; sent++) {
+                sink = new RecordingSink();
+                Route once = route(RequestKind.REPEATABLE, 1, false, 0);
+                mGateway.submit(GatewayFixtures.request("r" + sent, once, Prompt.NONE), sink);
+                if (sink.mRefusal == null) {
+                    crash();
+                }
+            }
+            assertThat(mBackend.mOrders).hasSize(3);
+            assertThat(sink.mRefusal.kind()).isEqualTo(ErrorKind.CRASHING_REQUEST);
+        }
+
         @Test
         void soundRequestsBesideItAreServed() {
             findCause();
