Never refuse as crashing what has been answered

Cause: answers were remembered for prompt parts alone. The soak's requests are alike to the byte; their servers are killed by signals, and after three kills with requests sent in between the whole request was a cause. Each refusal kept it in force, so that no answer could end it.

Change: the mark of a whole request (of long bodies the length and 4 KiB at either end) is remembered with each answer, and a mark with a known answer is never a candidate. An entry VM that hears of a crash tells which of its marks it has seen answered, also if nothing is new to it. The threshold for marks with answers before, and the outline of requests, go.

Why it works: what crashes each server that runs it is never answered.

--- a/router/src/main/java/org/magnoliaseam/gateway/CrashGuard.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/CrashGuard.java
@@ -109,50 +109,22 @@
     }
 
     /**
-     * Returns the marks of a request. The mark of the whole request is left out unless it may have
-     * crashed a backend server, since it takes the whole body to compute.
+     * Returns the marks of a request: those of its shared prompt parts and its own.
      *
      * @param request the request
      * @return the marks
      */
-    private Set<RequestMark> marks(GatewayRequest request) {
-        Set<RequestMark> marks = partMarks(request);
-        if (mRecords.isEmpty()) {
-            return marks;
-        }
-        String account = request.accountName();
-        long outline = RequestMark.outline(account, target(request), request.body());
-        if (mRecords.candidates().stream().anyMatch(mark -> mark.mayBe(outline))) {
-            marks.add(RequestMark.ofRequest(account, target(request), request.body()));
-        }
-        return marks;
-    }
-
-    /**
-     * Returns the marks of the shared prompt parts of a request.
-     *
-     * @param request the request
-     * @return the marks
-     */
-    private static Set<RequestMark> partMarks(GatewayRequest request) {
+    private static Set<RequestMark> marks(GatewayRequest request) {
         List<PromptPart> parts = request.prompt().sharedParts();
         Set<RequestMark> marks = new HashSet<>();
         for (PromptPart part : parts.subList(Math.max(0, parts.size() - MAX_PARTS), parts.size())) {
             marks.add(RequestMark.ofPart(request.service().name().value(), part.id()));
         }
+        String target = request.method() + " " + request.target();
+        marks.add(RequestMark.ofRequest(request.accountName(), target, request.body()));
         return marks;
     }
 
-    /**
-     * Returns what a request calls.
-     *
-     * @param request the request
-     * @return method and path
-     */
-    private static String target(GatewayRequest request) {
-        return request.method() + " " + request.target();
-    }
-
     /**
      * Tells whether a request may crash a backend server and must not run beside another such one.
      *
@@ -246,8 +218,7 @@
      * @param sentNanos the local monotonic time at which it was sent
      */
     synchronized void lost(ServerIncarnation server, GatewayRequest request, long sentNanos) {
-        Set<RequestMark> marks = partMarks(request);
-        marks.add(RequestMark.ofRequest(request.accountName(), target(request), request.body()));
+        Set<RequestMark> marks = marks(request);
         long now = mClock.nanos();
         long hash = mRecords.crashOf(hash(server), sentNanos);
         Set<RequestMark> recorded = mRecords.crashed(hash, now, sentNanos, marks);
@@ -341,18 +312,17 @@
      * @param now the local monotonic time
      */
     private void heard(CrashNotice notice, long now) {
-        Set<RequestMark> recorded = mRecords.heard(notice, now);
-        if (recorded.isEmpty()) {
-            return;
-        }
-        mReports.crashed(notice.server(), recorded);
-        mLog.crashed(notice.server());
-        mOnCrash.run();
         for (RequestMark mark : notice.marks()) {
             if (mRecords.answer(mark, now).isPresent()) {
                 mReports.answered(mark);
             }
         }
+        Set<RequestMark> recorded = mRecords.heard(notice, now);
+        if (!recorded.isEmpty()) {
+            mReports.crashed(notice.server(), recorded);
+            mLog.crashed(notice.server());
+            mOnCrash.run();
+        }
     }
 
     /**
--- a/router/src/main/java/org/magnoliaseam/suspect/AnsweredMarks.java
+++ b/router/src/main/java/org/magnoliaseam/suspect/AnsweredMarks.java
@@ -8,7 +8,7 @@
 final class AnsweredMarks {
 
     /** The largest number of marks to keep; the oldest are dropped. */
-    private static final int MAX_MARKS = 4096;
+    private static final int MAX_MARKS = 8192;
 
     /** The local monotonic time of the latest answer to a request with a mark, oldest first. */
     private final Map<RequestMark, Long> mNanos = new LinkedHashMap<>();
@@ -18,15 +18,13 @@
      *
      * @param mark a mark of the request
      * @param nanos the local monotonic time of the answer
-     * @return true if none was known for the mark
      */
-    boolean add(RequestMark mark, long nanos) {
+    void add(RequestMark mark, long nanos) {
         Long known = mNanos.remove(mark);
         mNanos.put(mark, known != null && known - nanos > 0 ? known : nanos);
         if (mNanos.size() > MAX_MARKS) {
             mNanos.remove(mNanos.keySet().iterator().next());
         }
-        return known == null;
     }
 
     /**
@@ -39,18 +37,6 @@
         return mNanos.containsKey(mark);
     }
 
-    /**
-     * Tells whether a request with a mark has been answered since a moment.
-     *
-     * @param mark the mark
-     * @param nanos the local monotonic time of the moment
-     * @return true if one has
-     */
-    boolean containsSince(RequestMark mark, long nanos) {
-        Long answered = mNanos.get(mark);
-        return answered != null && answered - nanos >= 0;
-    }
-
     /**
      * Returns the time of the latest answer.
      *
--- a/router/src/main/java/org/magnoliaseam/suspect/CrashAnalysis.java
+++ b/router/src/main/java/org/magnoliaseam/suspect/CrashAnalysis.java
@@ -7,14 +7,13 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
-import java.util.function.Predicate;
 
 /**
  * Finds what explains crashes of backend servers. A mark is a candidate at a crash if a request
- * with it was unanswered there and none has been answered since. Crashes count towards a mark if a
- * request with it was sent after the crash counted before; servers that end at the same moment, as
- * when a failure domain loses power, thus count once. Crashes that one cause explains do not count
- * towards other marks.
+ * with it was unanswered there and none is known to have been answered. Crashes count towards a
+ * mark if a request with it was sent after the crash counted before; servers that end at the same
+ * moment, as when a failure domain loses power, thus count once. Crashes that one cause explains do
+ * not count towards other marks.
  */
 final class CrashAnalysis {
 
@@ -24,15 +23,9 @@
     /** The crashes after which a whole request is a cause, and equal candidates are. */
     private static final int CERTAIN_CRASHES = 3;
 
-    /** The crashes after which a mark is a cause that had answers before them. */
-    private static final int ANSWERED_BEFORE_CRASHES = 4;
-
     /** The crashes. */
     private final List<Crash> mCrashes;
 
-    /** Tells whether a request with a mark was answered before the crashes. */
-    private final Predicate<RequestMark> mAnsweredBefore;
-
     /** The marks of the unanswered requests. */
     private final Set<RequestMark> mMarks = new HashSet<>();
 
@@ -49,12 +42,10 @@
      * Analyses crashes.
      *
      * @param crashes the crashes
-     * @param answeredBefore tells whether a request with a mark was answered before the crashes
      */
-    CrashAnalysis(Collection<Crash> crashes, Predicate<RequestMark> answeredBefore) {
+    CrashAnalysis(Collection<Crash> crashes) {
         mCrashes = new ArrayList<>(crashes);
         mCrashes.sort((a, b) -> Long.signum(a.nanos() - b.nanos()));
-        mAnsweredBefore = answeredBefore;
         mCrashes.forEach(crash -> crash.requests().forEach(mMarks::addAll));
         for (Optional<RequestMark> next = next(); next.isPresent(); next = next()) {
             addCause(next.get());
@@ -114,8 +105,7 @@
                 .filter(mark -> count(mark, true) >= crashesToCause(mark))
                 .filter(mark -> count(mark, true) >= CERTAIN_CRASHES || !hasEqual(mark))
                 .min(
-                        Comparator.comparing(mAnsweredBefore::test)
-                                .thenComparing(RequestMark::isWholeRequest)
+                        Comparator.comparing(RequestMark::isWholeRequest)
                                 .thenComparing(mark -> -count(mark, true))
                                 .thenComparing(RequestMark::value));
     }
@@ -132,7 +122,7 @@
         Set<RequestMark> marks = common(mark);
         mCauses.add(new CrashCause(Set.copyOf(marks), servers, count(mark, false)));
         mExplained.addAll(crashes);
-        marks.stream().filter(mAnsweredBefore.negate()).forEach(mGuarded::add);
+        mGuarded.addAll(marks);
     }
 
     /**
@@ -142,9 +132,6 @@
      * @return the number
      */
     private int crashesToCause(RequestMark mark) {
-        if (mAnsweredBefore.test(mark)) {
-            return ANSWERED_BEFORE_CRASHES;
-        }
         return mark.isWholeRequest() ? CERTAIN_CRASHES : PART_CRASHES;
     }
 
@@ -158,7 +145,7 @@
         List<Crash> crashes = with(mark, true);
         Set<RequestMark> common = common(mark);
         return mMarks.stream()
-                .filter(other -> !common.contains(other) && !mAnsweredBefore.test(other))
+                .filter(other -> !common.contains(other))
                 .anyMatch(other -> new HashSet<>(with(other, true)).containsAll(crashes));
     }
 
--- a/router/src/main/java/org/magnoliaseam/suspect/CrashRecords.java
+++ b/router/src/main/java/org/magnoliaseam/suspect/CrashRecords.java
@@ -83,7 +83,7 @@
             long server, long crashNanos, long sentNanos, Collection<RequestMark> marks) {
         Set<RequestMark> candidates =
                 marks.stream()
-                        .filter(mark -> !mAnswered.containsSince(mark, crashNanos))
+                        .filter(mark -> !mAnswered.contains(mark))
                         .collect(Collectors.toUnmodifiableSet());
         if (candidates.isEmpty() || mSurvivors.contains(server)) {
             return Set.of();
@@ -102,22 +102,20 @@
     }
 
     /**
-     * Records an answer to a request with a mark, which cannot have caused earlier crashes.
+     * Records an answer to a request with a mark, which does not crash backend servers then.
      *
      * @param mark the mark
      * @param nanos the local monotonic time of the answer
      * @return true if the mark was a candidate for an earlier crash
      */
     public boolean answered(RequestMark mark, long nanos) {
-        boolean first = mAnswered.add(mark, nanos);
+        mAnswered.add(mark, nanos);
         boolean changed = false;
         for (Crash crash : mCrashes.values()) {
-            changed |= crash.nanos() - nanos <= 0 && crash.remove(mark);
+            changed |= crash.remove(mark);
         }
         if (changed) {
             mCrashes.values().removeIf(crash -> crash.requests().isEmpty());
-        }
-        if (changed || first && mAnalysis != null && mAnalysis.isCandidate(mark)) {
             mAnalysis = null;
         }
         return changed;
@@ -366,7 +364,7 @@
      */
     private CrashAnalysis analysis() {
         if (mAnalysis == null) {
-            mAnalysis = new CrashAnalysis(mCrashes.values(), mAnswered::contains);
+            mAnalysis = new CrashAnalysis(mCrashes.values());
         }
         return mAnalysis;
     }
--- a/router/src/main/java/org/magnoliaseam/suspect/RequestMark.java
+++ b/router/src/main/java/org/magnoliaseam/suspect/RequestMark.java
@@ -4,7 +4,7 @@
 import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
 import java.security.NoSuchAlgorithmException;
-import org.magnoliaseam.membership.StableHash;
+import java.util.Arrays;
 
 /**
  * Identifies something that a request has in common with others and that may crash backend servers:
@@ -21,15 +21,12 @@
     /** The bit that is set in marks of whole requests. */
     private static final long WHOLE_BIT = 1;
 
-    /** The bits of the mark of a whole request that its outline sets. */
-    private static final long OUTLINE_BITS = 0x1_FFFE;
+    /** The largest number of bytes of a body that are hashed at its begin and at its end. */
+    private static final int MAX_HASHED_BYTES = 4096;
 
     /** Separates the fields of a request in the input of the hash. */
     private static final String SEPARATOR = "\n";
 
-    /** Selects the hash of outlines. */
-    private static final int OUTLINE_SEED = 4;
-
     /**
      * Returns the mark of a prompt part.
      *
@@ -44,7 +41,7 @@
     }
 
     /**
-     * Returns the mark of a whole request.
+     * Returns the mark of a whole request. Of a long body only the begin and the end are hashed.
      *
      * @param account the client account; empty if there is none
      * @param target the method and path
@@ -53,20 +50,12 @@
      */
     public static RequestMark ofRequest(String account, String target, byte[] body) {
         MessageDigest digest = digest();
-        String head = account + SEPARATOR + target + SEPARATOR;
+        String head = account + SEPARATOR + target + SEPARATOR + body.length + SEPARATOR;
         digest.update(head.getBytes(StandardCharsets.UTF_8));
-        long hash = hash(digest, body) & ~(OUTLINE_BITS | WHOLE_BIT);
-        return new RequestMark(hash | outline(account, target, body) | WHOLE_BIT);
-    }
-
-    /**
-     * Tells whether this may be the mark of a request.
-     *
-     * @param outline the outline of the request
-     * @return false if it certainly is not
-     */
-    public boolean mayBe(long outline) {
-        return isWholeRequest() && (value & OUTLINE_BITS) == outline;
+        int hashed = Math.min(body.length, MAX_HASHED_BYTES);
+        digest.update(body, 0, hashed);
+        byte[] end = Arrays.copyOfRange(body, body.length - hashed, body.length);
+        return new RequestMark(hash(digest, end) | WHOLE_BIT);
     }
 
     /**
@@ -78,19 +67,6 @@
         return (value & WHOLE_BIT) != 0;
     }
 
-    /**
-     * Hashes what can be compared without reading the body of a request.
-     *
-     * @param account the client account; empty if there is none
-     * @param target the method and path
-     * @param body the body
-     * @return the outline, which is a part of the mark of the whole request
-     */
-    public static long outline(String account, String target, byte[] body) {
-        String outline = account + SEPARATOR + target + SEPARATOR + body.length;
-        return StableHash.of(outline, OUTLINE_SEED) & OUTLINE_BITS;
-    }
-
     /**
      * Creates a hash function.
      *
--- a/router/src/test/java/org/magnoliaseam/gateway/CrashGuardCallTest.java
+++ b/router/src/test/java/org/magnoliaseam/gateway/CrashGuardCallTest.java
@@ -180,6 +180,26 @@
     /** Tests what the other entry VMs are told. */
     @Nested
     class News {
+        @Test
+        void entryVmThatHasAnsweredTheRequestTellsTheOthers() {
+            CrashGuard here = new CrashGuard(mNow::get);
+            CrashGuard there = new CrashGuard(mNow::get);
+            GatewayRequest usual =
+                    GatewayFixtures.request(
+                            "r", route(RequestKind.REPEATABLE, 1, false, 0), Prompt.NONE);
+            there.answered(usual);
+            for (int crash = 0; crash < 5; crash++) {
+                mNow.addAndGet(200 * MILLI);
+                ServerIncarnation server =
+                        new ServerIncarnation(new BackendServerId("x" + crash), 1);
+                here.lost(server, usual, mNow.get() - MILLI);
+            }
+            assertThat(here.refuses(usual)).isTrue();
+            there.heard(here.news(3));
+            here.heard(there.news(3));
+            assertThat(here.refuses(usual)).isFalse();
+        }
+
         @Test
         void crashIsToldAtOnceThoughManyRequestsWereLostAtTheOnesBefore() {
             CrashGuard here = new CrashGuard(mNow::get);
