Remove queries of crash records that nothing calls any more

Cause: the outline of requests went with; the queries for candidates that served it stayed. Found by reading the whole diff.

Change: 28 lines less, no behaviour.

--- a/router/src/main/java/org/magnoliaseam/suspect/CrashAnalysis.java
+++ b/router/src/main/java/org/magnoliaseam/suspect/CrashAnalysis.java
@@ -76,25 +76,6 @@
         return mGuarded.contains(mark);
     }
 
-    /**
-     * Tells whether a mark may have caused a crash.
-     *
-     * @param mark the mark
-     * @return true if no request with it has been answered since
-     */
-    boolean isCandidate(RequestMark mark) {
-        return mMarks.contains(mark);
-    }
-
-    /**
-     * Returns the marks that may have caused a crash.
-     *
-     * @return the marks
-     */
-    Set<RequestMark> candidates() {
-        return mMarks;
-    }
-
     /**
      * Selects the mark that explains the most crashes of those that have enough.
      *
--- a/router/src/main/java/org/magnoliaseam/suspect/CrashRecords.java
+++ b/router/src/main/java/org/magnoliaseam/suspect/CrashRecords.java
@@ -205,15 +205,6 @@
         return analysis().causes().stream().filter(cause -> isInForce(cause, nowNanos)).toList();
     }
 
-    /**
-     * Returns the marks that may have caused a crash.
-     *
-     * @return the marks
-     */
-    public Set<RequestMark> candidates() {
-        return analysis().candidates();
-    }
-
     /**
      * Tells whether a request with a mark must not run beside other guarded ones.
      *
