End connections whose server sends bytes without end

What a caller saw: nothing wrong in the answer, but the connection of a given up request stayed open, and a thread of the client (of sixteen) read it for as long as the server wrote.

Cause, from calls of fill() with the state of the connection printed: - 5, 9, 10: Jetty parses until a read returns no bytes, and handles the abort of an exchange after that. Parts that make no event (interim answers, chunk extensions, trailers) never end this loop while the server keeps ahead of the reader. Whether a read comes up empty is a race, so 5 and 9 were red only now and then. - 13: after the answer was complete the connection went back to its pool, and Jetty went on to read it with no exchange. Bytes that never form a status line are one endless token to its parser. The idle time-out does not end it, since bytes arrive. Ruled out: that an idle connection is not read (fill() was called, "exchange=null"); that a close on a timer is missing (the abort was made in time and waited in the queue of the busy thread).

Change: the end point returns no bytes once after 32 successive reads with bytes, so that the abort is handled; and takes bytes on a connection that lies in its pool as the end of that connection. The pool tells the end point. The bound on chunks in ResponseBodyReader does the same for bodies alone and is removed. The test used Jetty's plain client; it now uses the transport of the product, checks and bounds as before. End point and connector are named after what they now do.

--- a/router/src/main/java/org/magnoliaseam/backend/ResetAwareConnector.java
+++ b/router/src/main/java/org/magnoliaseam/backend/BackendConnector.java
@@ -8,8 +8,8 @@
 import org.eclipse.jetty.io.ManagedSelector;
 import org.eclipse.jetty.util.ssl.SslContextFactory;
 
-/** Opens connections to backend servers that record whether they were reset. */
-public final class ResetAwareConnector extends ClientConnector {
+/** Opens connections to backend servers. */
+public final class BackendConnector extends ClientConnector {
 
     /** Prevents loading TLS, which no connection uses and which would slow down the start. */
     private static final class UnusedTls extends SslContextFactory.Client {
@@ -28,6 +28,6 @@
     @Override
     protected EndPoint newEndPoint(
             SelectableChannel channel, ManagedSelector selector, SelectionKey key) {
-        return new ResetAwareEndPoint((SocketChannel) channel, selector, key, getScheduler());
+        return new BackendEndPoint((SocketChannel) channel, selector, key, getScheduler());
     }
 }
--- a/router/src/main/java/org/magnoliaseam/backend/ResponseBodyReader.java
+++ b/router/src/main/java/org/magnoliaseam/backend/ResponseBodyReader.java
@@ -10,12 +10,6 @@
 /** Reads the body of a response at the pace of its listener, and classifies failed exchanges. */
 public final class ResponseBodyReader {
 
-    /**
-     * The chunks to read before other events of the exchange are handled. A body that arrives
-     * without a break would otherwise keep its cancellation from being handled.
-     */
-    private static final int MAX_CHUNKS_AT_ONCE = 32;
-
     /** Receives the response. */
     private final BackendListener mListener;
 
@@ -40,7 +34,7 @@
      * @param source the body
      */
     public void content(Response response, Content.Source source) {
-        for (int read = 0; read < MAX_CHUNKS_AT_ONCE; read++) {
+        while (true) {
             Content.Chunk chunk = source.read();
             if (chunk == null) {
                 source.demand(() -> content(response, source));
@@ -53,7 +47,6 @@
                 return;
             }
         }
-        source.demand(() -> content(response, source));
     }
 
     /**
--- a/router/src/main/java/org/magnoliaseam/platform/ServerExchange.java
+++ b/router/src/main/java/org/magnoliaseam/platform/ServerExchange.java
@@ -13,9 +13,9 @@
 import org.eclipse.jetty.http.HttpStatus;
 import org.eclipse.jetty.io.AbstractConnection;
 import org.eclipse.jetty.io.Content;
+import org.magnoliaseam.backend.BackendEndPoint;
 import org.magnoliaseam.backend.BackendFailure;
 import org.magnoliaseam.backend.CallCancelledException;
-import org.magnoliaseam.backend.ResetAwareEndPoint;
 import org.magnoliaseam.backend.ResponseBodyReader;
 import org.magnoliaseam.exchange.AnswerHead;
 import org.magnoliaseam.exchange.Header;
@@ -176,7 +176,7 @@
      */
     private boolean reset() {
         return mConnection instanceof AbstractConnection connection
-                && connection.getEndPoint() instanceof ResetAwareEndPoint endPoint
+                && connection.getEndPoint() instanceof BackendEndPoint endPoint
                 && endPoint.wasReset();
     }
 
--- a/router/src/main/java/org/magnoliaseam/route/GatewayFactory.java
+++ b/router/src/main/java/org/magnoliaseam/route/GatewayFactory.java
@@ -157,7 +157,7 @@
      * @return the client, not yet started
      */
     private HttpClient client() {
-        HttpClient client = HttpFactory.client("backend");
+        HttpClient client = HttpFactory.pooledClient();
         client.setExecutor(mThreads);
         client.setConnectTimeout(CONNECT_MILLIS);
         client.setIdleTimeout(IDLE_MILLIS);
--- a/router/src/main/java/org/magnoliaseam/route/HttpFactory.java
+++ b/router/src/main/java/org/magnoliaseam/route/HttpFactory.java
@@ -2,17 +2,15 @@
 
 import java.net.InetSocketAddress;
 import java.util.concurrent.TimeUnit;
-import org.eclipse.jetty.client.DuplexConnectionPool;
 import org.eclipse.jetty.client.HttpClient;
-import org.eclipse.jetty.client.transport.HttpClientTransportOverHTTP;
-import org.eclipse.jetty.io.ClientConnector;
 import org.eclipse.jetty.server.Handler;
 import org.eclipse.jetty.server.HttpConfiguration;
 import org.eclipse.jetty.server.HttpConnectionFactory;
 import org.eclipse.jetty.server.Server;
 import org.eclipse.jetty.server.ServerConnector;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
-import org.magnoliaseam.backend.ResetAwareConnector;
+import org.magnoliaseam.backend.BackendConnector;
+import org.magnoliaseam.backend.BackendTransport;
 
 /** Creates the HTTP servers and clients with their limits. */
 final class HttpFactory {
@@ -38,6 +36,9 @@
     /** The maximum number of requests that wait for a connection to one backend server. */
     private static final int MAX_QUEUED = 1024;
 
+    /** No limit to the number of exchanges on one connection. */
+    private static final int UNLIMITED_USAGE = -1;
+
     /** Prevents instances of this utility class. */
     private HttpFactory() {}
 
@@ -100,7 +101,7 @@
      * @return the client, not yet started
      */
     static HttpClient pooledClient() {
-        return client("backend");
+        return client("backend", UNLIMITED_USAGE);
     }
 
     /**
@@ -109,31 +110,23 @@
      * @return the client, not yet started
      */
     static HttpClient singleUseClient() {
-        HttpClient client = client("backend-single-use");
-        client.getTransport()
-                .setConnectionPoolFactory(
-                        destination -> {
-                            DuplexConnectionPool pool =
-                                    new DuplexConnectionPool(destination, MAX_CONNECTIONS);
-                            pool.setMaxUsage(1);
-                            return pool;
-                        });
-        return client;
+        return client("backend-single-use", 1);
     }
 
     /**
      * Creates a client.
      *
      * @param name the prefix of thread names
+     * @param maxUsage the maximum number of exchanges on one connection; -1 for no limit
      * @return the client, not yet started
      */
-    static HttpClient client(String name) {
+    private static HttpClient client(String name, int maxUsage) {
         QueuedThreadPool threads = new QueuedThreadPool(CLIENT_THREADS, 2);
         threads.setName(name);
         threads.setDaemon(true);
-        ClientConnector connector = new ResetAwareConnector();
+        BackendConnector connector = new BackendConnector();
         connector.setSelectors(1);
-        HttpClient client = new HttpClient(new HttpClientTransportOverHTTP(connector));
+        HttpClient client = new HttpClient(new BackendTransport(connector, maxUsage));
         client.setExecutor(threads);
         client.setConnectTimeout(CONNECT_TIMEOUT_MILLIS);
         client.setIdleTimeout(IDLE_TIMEOUT_MILLIS);
--- a/router/src/test/java/org/magnoliaseam/platform/ServerProtocolTest.java
+++ b/router/src/test/java/org/magnoliaseam/platform/ServerProtocolTest.java
@@ -15,13 +15,13 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import org.eclipse.jetty.client.HttpClient;
-import org.eclipse.jetty.client.transport.HttpClientTransportOverHTTP;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.magnoliaseam.backend.BackendConnector;
 import org.magnoliaseam.backend.BackendFailure;
-import org.magnoliaseam.backend.ResetAwareConnector;
+import org.magnoliaseam.backend.BackendTransport;
 import org.magnoliaseam.catalog.RequestKind;
 import org.magnoliaseam.catalog.Route;
 import org.magnoliaseam.catalog.ServerEntry;
@@ -108,7 +108,7 @@
     @BeforeEach
     void start() throws Exception {
         mServer = new ServerSocket(0, 5, InetAddress.getLoopbackAddress());
-        mClient = new HttpClient(new HttpClientTransportOverHTTP(new ResetAwareConnector()));
+        mClient = new HttpClient(new BackendTransport(new BackendConnector(), -1));
         mClient.start();
     }
 
--- a/testbed/src/test/java/org/magnoliaseam/testbed/proof/EndlessAnswerIT.java
+++ b/testbed/src/test/java/org/magnoliaseam/testbed/proof/EndlessAnswerIT.java
@@ -20,7 +20,9 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
+import org.magnoliaseam.backend.BackendConnector;
 import org.magnoliaseam.backend.BackendFailure;
+import org.magnoliaseam.backend.BackendTransport;
 import org.magnoliaseam.catalog.RequestKind;
 import org.magnoliaseam.catalog.Route;
 import org.magnoliaseam.catalog.ServerEntry;
@@ -120,7 +122,7 @@
     @BeforeEach
     void start() throws Exception {
         mServer = new ServerSocket(0, 5, InetAddress.getLoopbackAddress());
-        mClient = new HttpClient();
+        mClient = new HttpClient(new BackendTransport(new BackendConnector(), -1));
         mClient.start();
     }
 
