Limit the time for receiving a request of a caller

What callers saw: nothing, but a caller that sent its header line, chunk extension or trailers a byte now and then kept its connection for good; the idle time-out starts again with each byte, and the limit of the body is checked when a part of the body arrives, which these never do. A body a byte now and then was refused in time.

Ruled out: endless request lines, header lines, chunks, chunk sizes, chunk extensions and trailers at full speed (closed at the limit of bytes; other callers were answered meanwhile beside 24 of them on 12 threads).

One place for heads, bodies and trailers, on the connections of the platform's callers. The chat path has other connections and is not changed.

Before: EndlessRequestTest 3 of 25 red (header line, chunk extension and trailers, each slow). After: 25 of 25.

--- a/router/src/main/java/org/magnoliaseam/caller/ObservedConnectionFactory.java
+++ b/router/src/main/java/org/magnoliaseam/caller/ObservedConnectionFactory.java
@@ -2,15 +2,28 @@
 
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.io.Connection;
+import org.eclipse.jetty.io.Content;
 import org.eclipse.jetty.io.EndPoint;
 import org.eclipse.jetty.server.Connector;
 import org.eclipse.jetty.server.HttpConfiguration;
 import org.eclipse.jetty.server.HttpConnectionFactory;
+import org.eclipse.jetty.server.Request;
+import org.magnoliaseam.time.MonotonicClock;
 
-/** Creates HTTP connections that detect a close by the caller while a request is in progress. */
+/**
+ * Creates HTTP connections that detect a close by the caller while a request is in progress, and
+ * end the input if receiving a request takes too long.
+ */
 public final class ObservedConnectionFactory extends HttpConnectionFactory {
 
+    /** The time limit for receiving a request, in milliseconds. */
+    private final long mReceiveLimitMillis;
+
+    /** The clock. */
+    private final MonotonicClock mClock;
+
     /** The open connections. */
     private final Set<ObservedEndPoint> mOpen = ConcurrentHashMap.newKeySet();
 
@@ -18,14 +31,65 @@
      * Creates a factory.
      *
      * @param configuration the HTTP configuration of the connections
+     * @param receiveLimitMillis the time limit for receiving a request, in milliseconds
+     * @param clock the clock
      */
-    public ObservedConnectionFactory(HttpConfiguration configuration) {
+    public ObservedConnectionFactory(
+            HttpConfiguration configuration, long receiveLimitMillis, MonotonicClock clock) {
         super(configuration);
+        mReceiveLimitMillis = receiveLimitMillis;
+        mClock = clock;
+        getHttpConfiguration().addCustomizer(ObservedConnectionFactory::observeBody);
+    }
+
+    /** Tells the connection when the body of a request has been received. */
+    private static final class ObservedRequest extends Request.Wrapper {
+
+        /** The connection of the request. */
+        private final ObservedEndPoint mEndPoint;
+
+        /**
+         * Creates a request.
+         *
+         * @param request the request to wrap
+         * @param endPoint its connection
+         */
+        ObservedRequest(Request request, ObservedEndPoint endPoint) {
+            super(request);
+            mEndPoint = endPoint;
+        }
+
+        @Override
+        public Content.Chunk read() {
+            Content.Chunk chunk = super.read();
+            if (chunk != null && chunk.isLast()) {
+                mEndPoint.received();
+            }
+            return chunk;
+        }
+    }
+
+    /**
+     * Observes the receipt of a request whose head has been received.
+     *
+     * @param request the request
+     * @param responseHeaders the header fields of its response
+     * @return the observed request
+     */
+    private static Request observeBody(Request request, HttpFields.Mutable responseHeaders) {
+        EndPoint endPoint = request.getConnectionMetaData().getConnection().getEndPoint();
+        if (!(endPoint instanceof ObservedEndPoint observed)) {
+            return request;
+        }
+        Request.addCompletionListener(request, failure -> observed.received());
+        return new ObservedRequest(request, observed);
     }
 
     @Override
     public Connection newConnection(Connector connector, EndPoint endPoint) {
-        ObservedEndPoint observed = new ObservedEndPoint(endPoint, connector.getExecutor());
+        ObservedEndPoint observed =
+                new ObservedEndPoint(
+                        endPoint, connector.getExecutor(), mReceiveLimitMillis, mClock);
         Connection connection = super.newConnection(connector, observed);
         connection.addEventListener(
                 new Connection.Listener() {
--- a/router/src/main/java/org/magnoliaseam/caller/ObservedEndPoint.java
+++ b/router/src/main/java/org/magnoliaseam/caller/ObservedEndPoint.java
@@ -4,15 +4,19 @@
 import java.net.SocketAddress;
 import java.nio.ByteBuffer;
 import java.util.concurrent.Executor;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import org.eclipse.jetty.io.Connection;
 import org.eclipse.jetty.io.EndPoint;
 import org.eclipse.jetty.util.BufferUtil;
 import org.eclipse.jetty.util.Callback;
+import org.magnoliaseam.time.MonotonicClock;
 
 /**
  * Detects that a caller closes its connection while its request is in progress. Jetty does not read
- * from the connection during that time, so this end point reads ahead and buffers the bytes.
+ * from the connection during that time, so this end point reads ahead and buffers the bytes. It
+ * also ends the input when receiving a request takes longer than a limit; an idle timeout does not
+ * apply to a caller that sends a byte now and then.
  */
 public final class ObservedEndPoint implements EndPoint, EndPoint.Wrapper {
 
@@ -25,6 +29,12 @@
     /** Runs the callbacks of the connection. */
     private final Executor mExecutor;
 
+    /** The time limit for receiving a request, in nanoseconds. */
+    private final long mReceiveLimitNanos;
+
+    /** The clock. */
+    private final MonotonicClock mClock;
+
     /** The buffered bytes that the connection has not read yet; empty if none. */
     private ByteBuffer mBuffered = BufferUtil.EMPTY_BUFFER;
 
@@ -37,6 +47,12 @@
     /** Runs when the caller closes the connection; null if the connection is not observed. */
     private Runnable mOnClosed;
 
+    /** Whether a part of a request has been received, but not all of it. */
+    private boolean mReceiving;
+
+    /** The local monotonic time at which the first part of the request was received. */
+    private long mReceivingSinceNanos;
+
     /** Whether a read callback is registered with the wrapped end point. */
     private boolean mRegistered;
 
@@ -45,10 +61,15 @@
      *
      * @param endPoint the end point to wrap
      * @param executor runs the callbacks of the connection
+     * @param receiveLimitMillis the time limit for receiving a request, in milliseconds
+     * @param clock the clock
      */
-    ObservedEndPoint(EndPoint endPoint, Executor executor) {
+    ObservedEndPoint(
+            EndPoint endPoint, Executor executor, long receiveLimitMillis, MonotonicClock clock) {
         mEndPoint = endPoint;
         mExecutor = executor;
+        mReceiveLimitNanos = TimeUnit.MILLISECONDS.toNanos(receiveLimitMillis);
+        mClock = clock;
     }
 
     /**
@@ -74,6 +95,11 @@
         mOnClosed = null;
     }
 
+    /** Ends the time limit for a request that has been received whole or was answered. */
+    synchronized void received() {
+        mReceiving = false;
+    }
+
     @Override
     public EndPoint unwrap() {
         return mEndPoint;
@@ -86,13 +112,36 @@
                 int position = BufferUtil.flipToFill(buffer);
                 int moved = BufferUtil.put(mBuffered, buffer);
                 BufferUtil.flipToFlush(buffer, position);
+                countReceived(moved);
                 return moved;
             }
             if (mEndOfInput) {
                 return -1;
             }
         }
-        return mEndPoint.fill(buffer);
+        int filled = mEndPoint.fill(buffer);
+        return countReceived(filled) ? filled : -1;
+    }
+
+    /**
+     * Starts the time limit for receiving a request with its first bytes, and ends the input when
+     * bytes are received after the limit.
+     *
+     * @param count the number of bytes received
+     * @return false if the limit has passed
+     */
+    private synchronized boolean countReceived(int count) {
+        if (count <= 0) {
+            return true;
+        }
+        long now = mClock.nanos();
+        if (!mReceiving) {
+            mReceiving = true;
+            mReceivingSinceNanos = now;
+        } else if (now - mReceivingSinceNanos > mReceiveLimitNanos) {
+            mEndOfInput = true;
+        }
+        return !mEndOfInput;
     }
 
     @Override
