Let LeavingIT wait for a long review at the leaving engine

Traced in the logs of one: all six long reviews were sent through entry-1, which had room for three at each of the two other engines and started them there; the wait for "a long stream at the engine" was fulfilled by reviews of the warm-up, which the engine had started less than 2 s before. Preemption, suspected before, played no part.

The test now counts starts since it began, and sends long reviews through all entry VMs in turn, up to 18, until the engine has started one. All checks and bounds are as before; every review sent must be whole.

--- a/testbed/src/test/java/org/magnoliaseam/testbed/proof/LeavingIT.java
+++ b/testbed/src/test/java/org/magnoliaseam/testbed/proof/LeavingIT.java
@@ -2,9 +2,9 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
-import java.util.stream.IntStream;
 import org.junit.jupiter.api.AfterAll;
 import org.junit.jupiter.api.BeforeAll;
 import org.junit.jupiter.api.Test;
@@ -21,6 +21,7 @@
     private static final long LEAVE_LIMIT_MILLIS = 5_000;
     private static final long CONFIGURATION_MILLIS = 7_000;
     private static final long OBSERVATION_MILLIS = 3_000;
+    private static final int MAX_LONG_REVIEWS = 18;
     private static final String DOMAIN_OUT = "[out-of-service]\nfailure-domains = [\"domain-2\"]\n";
 
     private static TestSite sSite;
@@ -73,10 +74,19 @@
     void leavingEngineGetsNoStartAndEndsItsStreams() {
         BackendMember engine = sSite.engine(2);
         try (BackgroundLoad load = new BackgroundLoad(sSite, 6, "question", 40, 100)) {
-            List<ChatCall> calls = IntStream.range(0, 6).mapToObj(LeavingIT::longReview).toList();
-            List<CompletableFuture<CallerAnswer>> answers =
-                    calls.stream().map(LeavingIT::send).toList();
-            Waits.await("a long stream at the engine", 5_000, () -> reviewStarted(engine));
+            long beginMillis = System.currentTimeMillis();
+            List<ChatCall> calls = new ArrayList<>();
+            List<CompletableFuture<CallerAnswer>> answers = new ArrayList<>();
+            Waits.await(
+                    "a long stream at the engine",
+                    5_000,
+                    () -> {
+                        if (calls.size() < MAX_LONG_REVIEWS) {
+                            calls.add(longReview(calls.size()));
+                            answers.add(send(calls.get(calls.size() - 1), calls.size()));
+                        }
+                        return reviewStarted(engine, beginMillis);
+                    });
             long leavingMillis = System.currentTimeMillis();
             engine.control("{\"leaving\":true}");
             Waits.until(leavingMillis + LEAVE_LIMIT_MILLIS + OBSERVATION_MILLIS);
@@ -101,14 +111,14 @@
         return ChatCall.streamed(SiteSpec.KEYS.get(1), SiteSpec.MODEL, prompt).inClass("review");
     }
 
-    private static CompletableFuture<CallerAnswer> send(ChatCall call) {
+    private static CompletableFuture<CallerAnswer> send(ChatCall call, int number) {
         CallSchedule due = CallSchedule.now(30_000);
-        return sSite.client().chatAsync(sSite.entry(0).callers(), call, due);
+        int entry = number % sSite.entries().size();
+        return sSite.client().chatAsync(sSite.entry(entry).callers(), call, due);
     }
 
-    /** Tells whether a review, which the engine lists under its tier 3, started recently. */
-    private static boolean reviewStarted(BackendMember engine) {
-        long sinceMillis = System.currentTimeMillis() - 2_000;
+    /** Tells whether a review, which the engine lists under its tier 3, has started. */
+    private static boolean reviewStarted(BackendMember engine, long sinceMillis) {
         for (var start : engine.get("/test/starts?sinceMillis=" + sinceMillis)) {
             if (start.path("priority").asInt() == 3) {
                 return true;
