--- a/router/src/main/java/org/magnoliaseam/route/HttpFactory.java
+++ b/router/src/main/java/org/magnoliaseam/route/HttpFactory.java
@@ -1,6 +1,7 @@
 package org.magnoliaseam.route;
 
 import java.net.InetSocketAddress;
+import java.time.Duration;
 import java.util.concurrent.TimeUnit;
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.server.Handler;
@@ -11,6 +12,8 @@
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
 import org.magnoliaseam.backend.BackendConnector;
 import org.magnoliaseam.backend.BackendTransport;
+import org.magnoliaseam.caller.ObservedConnectionFactory;
+import org.magnoliaseam.time.MonotonicClock;
 
 /** Creates the HTTP servers and clients with their limits. */
 final class HttpFactory {
@@ -51,11 +54,49 @@
      * @return the server, not yet started
      */
     static Server server(String name, InetSocketAddress address, Handler handler) {
+        return server(name, address, new HttpConnectionFactory(limits()), handler);
+    }
+
+    /**
+     * Creates the server of a port for callers.
+     *
+     * @param name the name of the port and the prefix of thread names
+     * @param address the address to listen on
+     * @param receiveLimit the time limit for receiving a request
+     * @param clock the clock
+     * @param handler serves requests
+     * @return the server, not yet started
+     */
+    static Server callerServer(
+            String name,
+            InetSocketAddress address,
+            Duration receiveLimit,
+            MonotonicClock clock,
+            Handler handler) {
+        HttpConnectionFactory connections =
+                new ObservedConnectionFactory(limits(), receiveLimit.toMillis(), clock);
+        return server(name, address, connections, handler);
+    }
+
+    /**
+     * Creates a server.
+     *
+     * @param name the name of the port and the prefix of thread names
+     * @param address the address to listen on
+     * @param connections creates connections
+     * @param handler serves requests
+     * @return the server, not yet started
+     */
+    private static Server server(
+            String name,
+            InetSocketAddress address,
+            HttpConnectionFactory connections,
+            Handler handler) {
         QueuedThreadPool threads = new QueuedThreadPool(SERVER_THREADS, 2);
         threads.setName(name);
         threads.setDaemon(true);
         Server server = new Server(threads);
-        server.addConnector(connector(server, name, address, new HttpConnectionFactory(limits())));
+        server.addConnector(connector(server, name, address, connections));
         server.setHandler(handler);
         server.setStopAtShutdown(false);
         return server;
--- a/router/src/main/java/org/magnoliaseam/route/ServerModule.java
+++ b/router/src/main/java/org/magnoliaseam/route/ServerModule.java
@@ -95,6 +95,7 @@
                         tickets,
                         identity::nextRequestId,
                         clock);
-        return HttpFactory.server(CALLERS, settings.callersAddress(), handler);
+        return HttpFactory.callerServer(
+                CALLERS, settings.callersAddress(), settings.bodyTimeout(), clock, handler);
     }
 }
--- a/router/src/test/java/org/magnoliaseam/route/EndlessRequestTest.java
+++ b/router/src/test/java/org/magnoliaseam/route/EndlessRequestTest.java
@@ -26,19 +26,17 @@
 import org.eclipse.jetty.server.Server;
 import org.eclipse.jetty.server.ServerConnector;
 import org.eclipse.jetty.util.Callback;
-import org.eclipse.jetty.util.thread.QueuedThreadPool;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
 import org.magnoliaseam.caller.BodyReader;
-import org.magnoliaseam.caller.ObservedConnectionFactory;
 
 /** Tests requests of callers that never end. */
 class EndlessRequestTest {
 
-    private static final int THREADS = 12;
+    private static final int CONNECTIONS = 80;
 
     private static final int MAX_BODY_BYTES = 1024 * 1024;
 
@@ -112,18 +110,15 @@
 
     @BeforeEach
     void start() throws Exception {
-        mServer = new Server(new QueuedThreadPool(THREADS, 2));
-        ServerConnector connector =
-                HttpFactory.connector(
-                        mServer,
+        mServer =
+                HttpFactory.callerServer(
                         "callers",
                         new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
-                        new ObservedConnectionFactory(
-                                HttpFactory.limits(), RECEIVE_LIMIT_MILLIS, System::nanoTime));
-        mServer.addConnector(connector);
-        mServer.setHandler(new SizeHandler());
+                        Duration.ofMillis(RECEIVE_LIMIT_MILLIS),
+                        System::nanoTime,
+                        new SizeHandler());
         mServer.start();
-        mPort = connector.getLocalPort();
+        mPort = ((ServerConnector) mServer.getConnectors()[0]).getLocalPort();
     }
 
     @AfterEach
@@ -176,7 +171,7 @@
     @ParameterizedTest
     @EnumSource
     void otherCallersAreServedMeanwhile(Endless request) throws Exception {
-        for (int i = 0; i < THREADS * 2; i++) {
+        for (int i = 0; i < CONNECTIONS; i++) {
             send(request);
         }
         TimeUnit.MILLISECONDS.sleep(DRIP_MILLIS);
