Excuse soak servers whose refusal names another request

Two faults of the plan overlapped: the server refused with Retry-After 2, and put the id of another request into its answers. The entry VM's account of r2-3681 reads "mismatched, The answer names another request"; it closed the connection and sent the request elsewhere.

The stand-in records what its answer states as nothing if the answer names another request. The same holds for the check of leaving servers, which counted such answers as well. Refusals and notices in answers with the request's own id are checked as before.

--- a/testbed/src/main/java/org/magnoliaseam/testbed/store/ServerStandIn.java
+++ b/testbed/src/main/java/org/magnoliaseam/testbed/store/ServerStandIn.java
@@ -72,7 +72,8 @@
      *
      * @param request the id of the request
      * @param nanos the local monotonic time
-     * @param notices what the answer states
+     * @param notices what the answer states; nothing if it names another request, as it may then be
+     *     the answer of another server
      */
     public record Arrival(String request, long nanos, StatedNotices notices) {}
 
@@ -218,13 +219,15 @@
      */
     private void handle(HttpExchange exchange) {
         String id = exchange.header("X-Request-Id").orElse("");
-        exchange.with("X-Request-Id", mMode == Mode.FOREIGN ? "other" : id);
+        boolean foreign = mMode == Mode.FOREIGN;
+        exchange.with("X-Request-Id", foreign ? "other" : id);
         if (!exchange.header("X-Target-Instance").orElse(mId).equals(mId)) {
             exchange.empty(MISDIRECTED);
             return;
         }
         StatedNotices notices = mNotices;
-        mArrivals.add(new Arrival(id, System.nanoTime(), notices));
+        StatedNotices stated = foreign ? StatedNotices.NONE : notices;
+        mArrivals.add(new Arrival(id, System.nanoTime(), stated));
         notices.addTo(exchange);
         if (mMode == Mode.REFUSE || notices.refusal() > 0) {
             int status = notices.refusal() > 0 ? notices.refusal() : UNAVAILABLE;
