--- a/testbed/src/main/java/org/magnoliaseam/testbed/soak/SoakSite.java
+++ b/testbed/src/main/java/org/magnoliaseam/testbed/soak/SoakSite.java
@@ -86,6 +86,16 @@
             mDomain = domain;
         }
 
+        /**
+         * Tells whether a failure domain is out of service.
+         *
+         * @param domain the failure domain
+         * @return true if this evacuation is of the domain and has not ended
+         */
+        boolean isOpen(String domain) {
+            return mDomain.equals(domain) && mEndNanos == Long.MAX_VALUE;
+        }
+
         /**
          * Tells whether a failure domain had been out of service for some time.
          *
@@ -291,10 +301,20 @@
         Evacuation evacuation = new Evacuation(domain);
         mEvacuations.add(evacuation);
         mStore.put("op/evacuate/" + domain, "{}");
-        return () -> {
-            evacuation.mEndNanos = System.nanoTime();
+        return () -> end(evacuation);
+    }
+
+    /**
+     * Ends an evacuation. Its failure domain returns to service with its last evacuation.
+     *
+     * @param evacuation the evacuation
+     */
+    private synchronized void end(Evacuation evacuation) {
+        String domain = evacuation.mDomain;
+        evacuation.mEndNanos = System.nanoTime();
+        if (mEvacuations.stream().noneMatch(other -> other.isOpen(domain))) {
             mStore.delete("op/evacuate/" + domain);
-        };
+        }
     }
 
     @Override
