Index the marks of lost requests, so that many crashes at once are decided quickly

Found by reading the change once more: the analysis of crashes compared every mark with every other over all crashes and requests, and was made anew after each lost request, in the lock that every request takes.

Change: one pass notes for each mark its crashes, the latest time at which a request was sent, and what all its requests have in common; equal candidates are looked for among the marks of one crash.

--- a/router/src/main/java/org/magnoliaseam/suspect/Crash.java
+++ b/router/src/main/java/org/magnoliaseam/suspect/Crash.java
@@ -3,7 +3,6 @@
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.Map;
-import java.util.Optional;
 import java.util.Set;
 import java.util.stream.Collectors;
 
@@ -77,19 +76,6 @@
         return true;
     }
 
-    /**
-     * Returns the latest time at which a request with a mark was sent.
-     *
-     * @param mark the mark
-     * @return the local monotonic time; empty if no request had the mark
-     */
-    Optional<Long> sentNanos(RequestMark mark) {
-        return mRequests.entrySet().stream()
-                .filter(entry -> entry.getKey().contains(mark))
-                .map(Map.Entry::getValue)
-                .max((a, b) -> Long.signum(a - b));
-    }
-
     /**
      * Returns the marks of the requests.
      *
--- a/router/src/main/java/org/magnoliaseam/suspect/CrashAnalysis.java
+++ b/router/src/main/java/org/magnoliaseam/suspect/CrashAnalysis.java
@@ -1,10 +1,13 @@
 package org.magnoliaseam.suspect;
 
 import java.util.ArrayList;
+import java.util.BitSet;
 import java.util.Collection;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 
@@ -23,14 +26,17 @@
     /** The crashes after which a whole request is a cause, and equal candidates are. */
     private static final int CERTAIN_CRASHES = 3;
 
-    /** The crashes. */
+    /** The crashes, the earliest first. */
     private final List<Crash> mCrashes;
 
-    /** The marks of the unanswered requests. */
-    private final Set<RequestMark> mMarks = new HashSet<>();
+    /** The marks of the unanswered requests, with the crashes at which they were unanswered. */
+    private final Map<RequestMark, MarkedRequests> mMarks = new HashMap<>();
 
-    /** The crashes that the causes so far explain. */
-    private final Set<Crash> mExplained = new HashSet<>();
+    /** The marks of the unanswered requests at each crash, in the order of the crashes. */
+    private final List<Set<RequestMark>> mMarksAt = new ArrayList<>();
+
+    /** The positions of the crashes that the causes so far explain. */
+    private final BitSet mExplained = new BitSet();
 
     /** The causes. */
     private final List<CrashCause> mCauses = new ArrayList<>();
@@ -46,17 +52,66 @@
     CrashAnalysis(Collection<Crash> crashes) {
         mCrashes = new ArrayList<>(crashes);
         mCrashes.sort((a, b) -> Long.signum(a.nanos() - b.nanos()));
-        mCrashes.forEach(crash -> crash.requests().forEach(mMarks::addAll));
+        for (int i = 0; i < mCrashes.size(); i++) {
+            index(i);
+        }
         for (Optional<RequestMark> next = next(); next.isPresent(); next = next()) {
             addCause(next.get());
         }
-        for (RequestMark mark : mMarks) {
+        for (RequestMark mark : mMarks.keySet()) {
             if (count(mark, true) >= crashesToCause(mark) - 1) {
                 mGuarded.add(mark);
             }
         }
     }
 
+    /** Holds the unanswered requests with a mark. */
+    private static final class MarkedRequests {
+
+        /** The positions of the crashes. */
+        private final BitSet mCrashes = new BitSet();
+
+        /** The latest time at which a request was sent, by the position of its crash. */
+        private final Map<Integer, Long> mSentNanos = new HashMap<>();
+
+        /** The marks that all these requests have. */
+        private Set<RequestMark> mCommon;
+
+        /**
+         * Adds a request.
+         *
+         * @param crash the position of its crash
+         * @param sentNanos the local monotonic time at which it was sent
+         * @param marks its marks
+         */
+        void add(int crash, long sentNanos, Set<RequestMark> marks) {
+            mCrashes.set(crash);
+            mSentNanos.merge(crash, sentNanos, (a, b) -> b - a > 0 ? b : a);
+            if (mCommon == null) {
+                mCommon = new HashSet<>(marks);
+            } else {
+                mCommon.retainAll(marks);
+            }
+        }
+    }
+
+    /**
+     * Adds the unanswered requests of a crash to those of their marks.
+     *
+     * @param crash the position of the crash
+     */
+    private void index(int crash) {
+        Set<RequestMark> all = new HashSet<>();
+        for (Set<RequestMark> marks : mCrashes.get(crash).requests()) {
+            long sent = mCrashes.get(crash).sentNanos(marks);
+            for (RequestMark mark : marks) {
+                mMarks.computeIfAbsent(mark, key -> new MarkedRequests()).add(crash, sent, marks);
+            }
+            all.addAll(marks);
+        }
+        mMarksAt.add(all);
+    }
+
     /**
      * Returns the causes.
      *
@@ -82,7 +137,7 @@
      * @return the mark; empty if none has
      */
     private Optional<RequestMark> next() {
-        return mMarks.stream()
+        return mMarks.keySet().stream()
                 .filter(mark -> count(mark, true) >= crashesToCause(mark))
                 .filter(mark -> count(mark, true) >= CERTAIN_CRASHES || !hasEqual(mark))
                 .min(
@@ -97,13 +152,12 @@
      * @param mark the mark
      */
     private void addCause(RequestMark mark) {
-        List<Crash> crashes = with(mark, false);
+        MarkedRequests requests = mMarks.get(mark);
         Set<Long> servers = new HashSet<>();
-        crashes.forEach(crash -> servers.add(crash.server()));
-        Set<RequestMark> marks = common(mark);
-        mCauses.add(new CrashCause(Set.copyOf(marks), servers, count(mark, false)));
-        mExplained.addAll(crashes);
-        mGuarded.addAll(marks);
+        requests.mCrashes.stream().forEach(crash -> servers.add(mCrashes.get(crash).server()));
+        mCauses.add(new CrashCause(Set.copyOf(requests.mCommon), servers, count(mark, false)));
+        mExplained.or(requests.mCrashes);
+        mGuarded.addAll(requests.mCommon);
     }
 
     /**
@@ -112,40 +166,47 @@
      * @param mark the mark
      * @return the number
      */
-    private int crashesToCause(RequestMark mark) {
+    private static int crashesToCause(RequestMark mark) {
         return mark.isWholeRequest() ? CERTAIN_CRASHES : PART_CRASHES;
     }
 
     /**
      * Tells whether a mark of other requests explains the same crashes.
      *
-     * @param mark the mark
+     * @param mark a mark with crashes that no cause explains
      * @return true if the crashes do not tell the two apart
      */
     private boolean hasEqual(RequestMark mark) {
-        List<Crash> crashes = with(mark, true);
-        Set<RequestMark> common = common(mark);
-        return mMarks.stream()
-                .filter(other -> !common.contains(other))
-                .anyMatch(other -> new HashSet<>(with(other, true)).containsAll(crashes));
+        MarkedRequests requests = mMarks.get(mark);
+        BitSet crashes = unexplained(requests);
+        return mMarksAt.get(crashes.nextSetBit(0)).stream()
+                .filter(other -> !requests.mCommon.contains(other))
+                .anyMatch(other -> containsAll(mMarks.get(other).mCrashes, crashes));
     }
 
     /**
-     * Returns the marks that all unanswered requests with a mark have.
+     * Tells whether a set contains all elements of another one.
      *
-     * @param mark the mark
-     * @return the marks, with the given one
+     * @param set the set
+     * @param others the elements
+     * @return true if it does
      */
-    private Set<RequestMark> common(RequestMark mark) {
-        Set<RequestMark> common = new HashSet<>(mMarks);
-        for (Crash crash : mCrashes) {
-            for (Set<RequestMark> marks : crash.requests()) {
-                if (marks.contains(mark)) {
-                    common.retainAll(marks);
-                }
-            }
-        }
-        return common;
+    private static boolean containsAll(BitSet set, BitSet others) {
+        BitSet missing = (BitSet) others.clone();
+        missing.andNot(set);
+        return missing.isEmpty();
+    }
+
+    /**
+     * Returns the crashes that no cause explains.
+     *
+     * @param requests the requests with a mark
+     * @return the positions of their crashes
+     */
+    private BitSet unexplained(MarkedRequests requests) {
+        BitSet crashes = (BitSet) requests.mCrashes.clone();
+        crashes.andNot(mExplained);
+        return crashes;
     }
 
     /**
@@ -156,29 +217,16 @@
      * @return the number of crashes
      */
     private int count(RequestMark mark, boolean unexplained) {
+        MarkedRequests requests = mMarks.get(mark);
+        BitSet crashes = unexplained ? unexplained(requests) : requests.mCrashes;
         int count = 0;
         long last = 0;
-        for (Crash crash : with(mark, unexplained)) {
-            long sent = crash.sentNanos(mark).orElseThrow();
-            if (count == 0 || sent - last >= 0) {
+        for (int i = crashes.nextSetBit(0); i >= 0; i = crashes.nextSetBit(i + 1)) {
+            if (count == 0 || requests.mSentNanos.get(i) - last >= 0) {
                 count++;
-                last = crash.nanos();
+                last = mCrashes.get(i).nanos();
             }
         }
         return count;
     }
-
-    /**
-     * Returns the crashes at which a request with a mark was unanswered.
-     *
-     * @param mark the mark
-     * @param unexplained whether to leave out crashes that a cause explains
-     * @return the crashes, the earliest first
-     */
-    private List<Crash> with(RequestMark mark, boolean unexplained) {
-        return mCrashes.stream()
-                .filter(crash -> crash.sentNanos(mark).isPresent())
-                .filter(crash -> !unexplained || !mExplained.contains(crash))
-                .toList();
-    }
 }
--- a/router/src/test/java/org/magnoliaseam/suspect/CrashRecordsTest.java
+++ b/router/src/test/java/org/magnoliaseam/suspect/CrashRecordsTest.java
@@ -1,7 +1,9 @@
 package org.magnoliaseam.suspect;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.junit.jupiter.api.Assertions.assertTimeoutPreemptively;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
@@ -344,4 +346,32 @@
             assertThat(kept).hasSizeLessThanOrEqualTo(CrashRecords.MAX_CRASHES);
         }
     }
+
+    /** Tests the largest records. */
+    @Nested
+    class Size {
+        private static final int REQUESTS = 16;
+        private static final Duration LIMIT = Duration.ofSeconds(20);
+
+        @Test
+        void decisionsKeepPaceWhenManyServersCrashWithManyRequests() {
+            assertTimeoutPreemptively(LIMIT, this::crashAll);
+        }
+
+        private void crashAll() {
+            Random random = new Random(5);
+            for (int server = 0; server < CrashRecords.MAX_CRASHES; server++) {
+                for (int i = 0; i < REQUESTS; i++) {
+                    RequestMark[] marks = {
+                        part("base " + random.nextInt(12)),
+                        part("document " + random.nextInt(300)),
+                        part("conversation " + random.nextInt(3000)),
+                        RequestMark.ofRequest("account", server + " " + i, new byte[0])
+                    };
+                    crash(server, 1000 + 50 * server, marks);
+                    verdict(1000 + 50 * server, marks);
+                }
+            }
+        }
+    }
 }
