State the time limit for receiving a request once

CallerProtocol had it for bodies and GatewayFactory for connections, 10 s in both; a change of one would have moved only half of the limit. EndlessRequestTest, CallerResponseTest and the tests of package borders are green.

--- a/router/src/main/java/org/magnoliaseam/platform/CallerProtocol.java
+++ b/router/src/main/java/org/magnoliaseam/platform/CallerProtocol.java
@@ -35,6 +35,9 @@
 /** Handles the HTTP requests of the platform's callers. */
 public final class CallerProtocol extends Handler.Abstract {
 
+    /** The time limit for receiving a request, in milliseconds. */
+    public static final long RECEIVE_LIMIT_MILLIS = 10_000;
+
     /** The prefix of the {@code Authorization} field before the API key. */
     private static final String BEARER = "Bearer ";
 
@@ -44,9 +47,6 @@
     /** The retry delay during a planned stop, when callers switch VMs, in milliseconds. */
     private static final long LEAVING_RETRY_AFTER_MILLIS = 10;
 
-    /** The time limit for reading a request body, in milliseconds. */
-    private static final long BODY_TIMEOUT_MILLIS = 10_000;
-
     /** Provides the current catalog. */
     private final CurrentCatalog mCurrentCatalog;
 
@@ -105,7 +105,7 @@
         new BodyReader(
                         request,
                         catalog.get().limits().maxBodyBytes(),
-                        arrived + TimeUnit.MILLISECONDS.toNanos(BODY_TIMEOUT_MILLIS),
+                        arrived + TimeUnit.MILLISECONDS.toNanos(RECEIVE_LIMIT_MILLIS),
                         mClock,
                         body ->
                                 body.fold(
--- a/router/src/main/java/org/magnoliaseam/route/GatewayFactory.java
+++ b/router/src/main/java/org/magnoliaseam/route/GatewayFactory.java
@@ -50,9 +50,6 @@
     /** The time after which an unused connection to a backend server is closed, in milliseconds. */
     private static final long IDLE_MILLIS = 2500;
 
-    /** The time limit for receiving a request of a caller, in milliseconds. */
-    private static final long RECEIVE_LIMIT_MILLIS = 10_000;
-
     /** The settings at the start. */
     private final StoreSettings mSettings;
 
@@ -82,7 +79,8 @@
         HttpConfiguration limits = HttpFactory.limits();
         limits.setUriCompliance(UriCompliance.UNSAFE);
         limits.setSendDateHeader(false);
-        mConnections = new ObservedConnectionFactory(limits, RECEIVE_LIMIT_MILLIS, mClock);
+        mConnections =
+                new ObservedConnectionFactory(limits, CallerProtocol.RECEIVE_LIMIT_MILLIS, mClock);
         mThreads.setName("http");
         mThreads.setDaemon(true);
     }
