--- a/review/standin/Replica.java
+++ b/review/standin/Replica.java
@@ -53,7 +53,7 @@
         }
     }
 
-    private void serve(Socket socket) {
+    void serve(Socket socket) {
         try (socket) {
             socket.setTcpNoDelay(true);
             BufferedInputStream in = new BufferedInputStream(socket.getInputStream());
