--- a/review/standin/KeptConnections.java
+++ b/review/standin/KeptConnections.java
@@ -35,6 +35,11 @@
     private static final int BODY_BYTES = 18_000;
     private static final int EVENTS = 13;
 
+    /** Every fourth logbook quotes requests, from the first byte that the router does not read ahead. */
+    private static final int QUOTING = 4;
+
+    private static final int READ_AHEAD_BYTES = 4096;
+
     private record Sent(String line, byte[] body) {}
 
     private static final Map<String, Sent> SENT = new ConcurrentHashMap<>();
@@ -93,7 +98,7 @@
         Sent sent = SENT.get(id);
         String fault = "";
         if (sent == null) {
-            fault = "no client sent this id";
+            fault = "no client sent this id; it stands inside a body";
         } else if (!head.line().equals(sent.line())) {
             fault = "method or path changed, sent was " + sent.line();
         } else if (!Arrays.equals(body, sent.body())) {
@@ -168,25 +173,39 @@
     }
 
     private static byte[] request(String id, boolean close) {
-        StringBuilder text = new StringBuilder(BODY_BYTES + 64);
-        for (int line = 0; text.length() < BODY_BYTES; line++) {
-            text.append(id).append(" page ").append(line).append(" the spoon of green birch\n");
-        }
-        text.setLength(BODY_BYTES);
-        byte[] body = Site.ascii(text.toString());
         String line = "POST /book/" + id + " HTTP/1.1";
-        SENT.put(id, new Sent(line, body));
         byte[] head = Site.ascii(line + "\r\nHost: school.example\r\nX-Request-Id: " + id
                 + "\r\nX-Deadline-Ms: 5000\r\nAuthorization: Bearer key-a\r\nX-Model: m\r\n"
                 + "X-Token-Counts: 9190,52\r\nX-Prompt-Prefix: 5c1e07a2:2520,91bd3f06:3780,"
                 + Integer.toHexString(id.hashCode()) + ":2890\r\n"
                 + (close ? "Connection: close\r\n" : "")
                 + "Content-Length: " + BODY_BYTES + "\r\n\r\n");
+        byte[] body = Site.ascii(text(id, head.length));
+        SENT.put(id, new Sent(line, body));
         byte[] whole = Arrays.copyOf(head, head.length + body.length);
         System.arraycopy(body, 0, whole, head.length, body.length);
         return whole;
     }
 
+    /** A logbook; one in four holds the text of requests, which nobody sends. */
+    private static String text(String id, int headBytes) {
+        StringBuilder text = new StringBuilder(BODY_BYTES + 256);
+        boolean quotes = Integer.parseInt(id.substring(id.indexOf('-') + 1)) % QUOTING == 0;
+        int end = quotes ? READ_AHEAD_BYTES - headBytes : BODY_BYTES;
+        for (int line = 0; text.length() < end; line++) {
+            text.append(id).append(" page ").append(line).append(" the spoon of green birch\n");
+        }
+        text.setLength(end);
+        String quoted = "POST /book/quoted-in-" + id + " HTTP/1.1\r\nHost: school.example\r\n"
+                + "X-Request-Id: quoted-in-" + id + "\r\nX-Deadline-Ms: 5000\r\n"
+                + "Authorization: Bearer key-a\r\nContent-Length: 0\r\n\r\n";
+        while (text.length() < BODY_BYTES) {
+            text.append(quoted);
+        }
+        text.setLength(BODY_BYTES);
+        return text.toString();
+    }
+
     /** One client that keeps its connection open and sends the next request when one is due. */
     private static void keepSending(Site site, Site.Router router, BlockingQueue<Integer> work) {
         while (true) {
