--- a/review/standin/KeptConnections.java
+++ b/review/KeptConnections.java
@@ -116,7 +116,7 @@
     }
 
     public static void main(String[] arguments) throws Exception {
-        boolean trouble = !"0".equals(System.getenv("TROUBLE"));
+        boolean trouble = !"0".equals(arguments[2]);
         Path repository = Path.of(arguments[0]);
         try (Site site = new Site(repository, Path.of(arguments[1]))) {
             System.exit(run(site, trouble));
