--- a/router/src/main/java/org/magnoliaseam/caller/ObservedEndPoint.java
+++ b/router/src/main/java/org/magnoliaseam/caller/ObservedEndPoint.java
@@ -1,12 +1,10 @@
 package org.magnoliaseam.caller;
 
 import java.io.IOException;
-import java.net.SocketAddress;
 import java.nio.ByteBuffer;
 import java.util.concurrent.Executor;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
-import org.eclipse.jetty.io.Connection;
 import org.eclipse.jetty.io.EndPoint;
 import org.eclipse.jetty.util.BufferUtil;
 import org.eclipse.jetty.util.Callback;
@@ -17,8 +15,11 @@
  * from the connection during that time, so this end point reads ahead and buffers the bytes. It
  * also ends the input when receiving a request takes longer than a limit; an idle timeout does not
  * apply to a caller that sends a byte now and then.
+ *
+ * <p>The connection and the observer read on different threads. One of them reads at a time, so
+ * that the connection gets the bytes in the order in which they arrived.
  */
-public final class ObservedEndPoint implements EndPoint, EndPoint.Wrapper {
+public final class ObservedEndPoint extends DelegatingEndPoint {
 
     /** The size of the read-ahead buffer, in bytes. */
     private static final int READ_AHEAD_BYTES = 4096;
@@ -47,6 +48,9 @@
     /** Runs when the caller closes the connection; null if the connection is not observed. */
     private Runnable mOnClosed;
 
+    /** Whether the connection or the observer is reading from the wrapped end point. */
+    private boolean mReading;
+
     /** Whether a part of a request has been received, but not all of it. */
     private boolean mReceiving;
 
@@ -66,6 +70,7 @@
      */
     ObservedEndPoint(
             EndPoint endPoint, Executor executor, long receiveLimitMillis, MonotonicClock clock) {
+        super(endPoint);
         mEndPoint = endPoint;
         mExecutor = executor;
         mReceiveLimitNanos = TimeUnit.MILLISECONDS.toNanos(receiveLimitMillis);
@@ -100,11 +105,6 @@
         mReceiving = false;
     }
 
-    @Override
-    public EndPoint unwrap() {
-        return mEndPoint;
-    }
-
     @Override
     public int fill(ByteBuffer buffer) throws IOException {
         synchronized (this) {
@@ -118,8 +118,17 @@
             if (mEndOfInput) {
                 return -1;
             }
+            if (mReading) {
+                return 0;
+            }
+            mReading = true;
+        }
+        int filled;
+        try {
+            filled = mEndPoint.fill(buffer);
+        } finally {
+            endRead();
         }
-        int filled = mEndPoint.fill(buffer);
         return countReceived(filled) ? filled : -1;
     }
 
@@ -173,10 +182,14 @@
         return mReadCallback != null;
     }
 
-    /** Registers one read callback that serves both the connection and the observer. */
+    /**
+     * Registers one read callback that serves both the connection and the observer. A read in
+     * progress registers it at its end.
+     */
     private void register() {
         synchronized (this) {
-            if (mRegistered || mReadCallback == null && mOnClosed == null) {
+            boolean awaited = mReadCallback != null || mOnClosed != null;
+            if (mRegistered || mReading || !awaited) {
                 return;
             }
             mRegistered = true;
@@ -184,13 +197,19 @@
         mEndPoint.fillInterested(Callback.from(this::readable, this::readFailed));
     }
 
-    /** Notifies the connection if it waits to read; otherwise reads ahead for the observer. */
+    /** Notifies the connection if it waits to read; otherwise reads ahead for an observer. */
     private void readable() {
         Callback readCallback;
         synchronized (this) {
             mRegistered = false;
             readCallback = mReadCallback;
             mReadCallback = null;
+            if (readCallback == null) {
+                if (mOnClosed == null || mReading) {
+                    return;
+                }
+                mReading = true;
+            }
         }
         if (readCallback != null) {
             readCallback.succeeded();
@@ -235,10 +254,18 @@
         } else if (count < 0) {
             closed();
         } else {
-            register();
+            endRead();
         }
     }
 
+    /** Ends a read that leaves the next one to whoever waits to read. */
+    private void endRead() {
+        synchronized (this) {
+            mReading = false;
+        }
+        register();
+    }
+
     /**
      * Buffers bytes for the connection and stops reading ahead, since they belong to its next
      * request.
@@ -249,6 +276,7 @@
         Callback readCallback;
         synchronized (this) {
             mBuffered = bytes;
+            mReading = false;
             readCallback = mReadCallback;
             mReadCallback = null;
         }
@@ -263,6 +291,7 @@
         Callback readCallback;
         synchronized (this) {
             mEndOfInput = true;
+            mReading = false;
             onClosed = mOnClosed;
             mOnClosed = null;
             readCallback = mReadCallback;
@@ -275,99 +304,4 @@
             readCallback.succeeded();
         }
     }
-
-    @Override
-    public SocketAddress getLocalSocketAddress() {
-        return mEndPoint.getLocalSocketAddress();
-    }
-
-    @Override
-    public SocketAddress getRemoteSocketAddress() {
-        return mEndPoint.getRemoteSocketAddress();
-    }
-
-    @Override
-    public boolean isOpen() {
-        return mEndPoint.isOpen();
-    }
-
-    @Override
-    public long getCreatedTimeStamp() {
-        return mEndPoint.getCreatedTimeStamp();
-    }
-
-    @Override
-    public void shutdownOutput() {
-        mEndPoint.shutdownOutput();
-    }
-
-    @Override
-    public boolean isOutputShutdown() {
-        return mEndPoint.isOutputShutdown();
-    }
-
-    @Override
-    public boolean isInputShutdown() {
-        return mEndPoint.isInputShutdown();
-    }
-
-    @Override
-    public void close(Throwable cause) {
-        mEndPoint.close(cause);
-    }
-
-    @Override
-    public boolean flush(ByteBuffer... buffers) throws IOException {
-        return mEndPoint.flush(buffers);
-    }
-
-    @Override
-    public Object getTransport() {
-        return mEndPoint.getTransport();
-    }
-
-    @Override
-    public long getIdleTimeout() {
-        return mEndPoint.getIdleTimeout();
-    }
-
-    @Override
-    public void setIdleTimeout(long millis) {
-        mEndPoint.setIdleTimeout(millis);
-    }
-
-    @Override
-    public void write(Callback callback, ByteBuffer... buffers) {
-        mEndPoint.write(callback, buffers);
-    }
-
-    @Override
-    public Callback cancelWrite(Throwable cause) {
-        return mEndPoint.cancelWrite(cause);
-    }
-
-    @Override
-    public Connection getConnection() {
-        return mEndPoint.getConnection();
-    }
-
-    @Override
-    public void setConnection(Connection connection) {
-        mEndPoint.setConnection(connection);
-    }
-
-    @Override
-    public void onOpen() {
-        mEndPoint.onOpen();
-    }
-
-    @Override
-    public void onClose(Throwable cause) {
-        mEndPoint.onClose(cause);
-    }
-
-    @Override
-    public void upgrade(Connection connection) {
-        mEndPoint.upgrade(connection);
-    }
 }
