--- a/router/src/main/java/org/magnoliaseam/cli/ExplainCommand.java
+++ b/router/src/main/java/org/magnoliaseam/cli/ExplainCommand.java
@@ -58,7 +58,7 @@
 
     @Override
     public int run(CommandLine line, Console console) throws UsageException {
-        RequestId id = requestId(line.getArgList());
+        RequestId id = requestId(line);
         if (line.hasOption(LOG) == line.hasOption(CommandOptions.ADDRESS)) {
             throw new UsageException("explain needs either --address or --log");
         }
@@ -69,20 +69,23 @@
     }
 
     /**
-     * Reads the identifier of the request.
+     * Reads the identifier of the request. A caller may choose any text, which only a file can be
+     * searched for; the operators' port knows the identifiers that the router itself assigned.
      *
-     * @param arguments the arguments of the command
+     * @param line the command line
      * @return the identifier
      * @throws UsageException if there is not exactly one well-formed identifier
      */
-    private static RequestId requestId(List<String> arguments) throws UsageException {
+    private static RequestId requestId(CommandLine line) throws UsageException {
+        List<String> arguments = line.getArgList();
         if (arguments.size() != 1) {
             throw new UsageException("explain needs one REQUEST-ID");
         }
-        if (!Identifiers.isValid(arguments.get(0))) {
-            throw new UsageException("malformed REQUEST-ID \"" + arguments.get(0) + "\"");
+        String id = arguments.get(0);
+        if (!(line.hasOption(LOG) ? Identifiers.isText(id) : Identifiers.isValid(id))) {
+            throw new UsageException("malformed REQUEST-ID \"" + id + "\"");
         }
-        return new RequestId(arguments.get(0));
+        return new RequestId(id);
     }
 
     /**
--- a/router/src/main/java/org/magnoliaseam/model/RequestId.java
+++ b/router/src/main/java/org/magnoliaseam/model/RequestId.java
@@ -3,7 +3,8 @@
 /**
  * Identifies one request of a caller, across all attempts and entry VMs.
  *
- * @param value the identifier, sent to the caller as {@code X-Request-Id}
+ * @param value the identifier, sent to the caller as {@code X-Request-Id}; {@link
+ *     Identifiers#isText} accepts it
  */
 public record RequestId(String value) {
 
@@ -13,7 +14,7 @@
      * @throws IllegalArgumentException if the value is malformed
      */
     public RequestId {
-        Identifiers.requireValid(value);
+        Identifiers.requireText(value);
     }
 
     @Override
--- a/router/src/main/java/org/magnoliaseam/platform/CallerProtocol.java
+++ b/router/src/main/java/org/magnoliaseam/platform/CallerProtocol.java
@@ -29,6 +29,7 @@
 import org.magnoliaseam.gateway.GatewayRequest;
 import org.magnoliaseam.gateway.ShutdownState;
 import org.magnoliaseam.membership.StableHash;
+import org.magnoliaseam.model.Identifiers;
 import org.magnoliaseam.model.RequestId;
 import org.magnoliaseam.time.MonotonicClock;
 
@@ -47,6 +48,15 @@
     /** The retry delay during a planned stop, when callers switch VMs, in milliseconds. */
     private static final long LEAVING_RETRY_AFTER_MILLIS = 10;
 
+    /** Tells a caller that a retry would not help. */
+    private static final long NO_RETRY = 0;
+
+    /** Stands in the refusal of a request without an id. */
+    private static final RequestId NO_ID = new RequestId("none");
+
+    /** Explains why a request has no usable id. */
+    private static final String FAULTY_ID = "X-Request-Id is missing, empty or repeated.";
+
     /** Provides the current catalog. */
     private final CurrentCatalog mCurrentCatalog;
 
@@ -85,7 +95,8 @@
             response.getHeaders().put(HttpHeader.CONNECTION, "close");
         }
         Optional<ObservedEndPoint> endPoint = endPoint(request);
-        RequestId id = id(request.getHeaders());
+        Optional<RequestId> sentId = id(request.getHeaders());
+        RequestId id = sentId.orElse(NO_ID);
         CallerResponse answer = new CallerResponse(response, callback, id);
         if (mShutdown.closed()) {
             answer.refuse(Refusal.of(ErrorKind.LEAVING), LEAVING_RETRY_AFTER_MILLIS);
@@ -96,6 +107,10 @@
             answer.refuse(Refusal.of(ErrorKind.NOT_READY), RETRY_AFTER_MILLIS);
             return true;
         }
+        if (sentId.isEmpty()) {
+            answer.refuse(new Refusal(ErrorKind.INVALID_REQUEST, FAULTY_ID), NO_RETRY);
+            return true;
+        }
         Result<Match, ErrorKind> match = match(request, catalog.get());
         if (match instanceof Result.Err<Match, ErrorKind> err) {
             answer.refuse(Refusal.of(err.error()), RETRY_AFTER_MILLIS);
@@ -197,14 +212,13 @@
      * Returns the id of a request.
      *
      * @param headers the header fields
-     * @return the id; {@code malformed} if the caller sent none or an invalid one
+     * @return the id as the caller sent it; empty if it sent none, an empty one or several
      */
-    private static RequestId id(HttpFields headers) {
-        try {
-            return new RequestId(String.valueOf(headers.get(WireNames.REQUEST_ID)));
-        } catch (IllegalArgumentException e) {
-            return new RequestId("malformed");
-        }
+    private static Optional<RequestId> id(HttpFields headers) {
+        List<String> ids = headers.getValuesList(WireNames.REQUEST_ID);
+        return ids.size() == 1 && Identifiers.isText(ids.get(0))
+                ? Optional.of(new RequestId(ids.get(0)))
+                : Optional.empty();
     }
 
     /**
