--- a/router/src/main/java/org/magnoliaseam/catalog/Catalog.java
+++ b/router/src/main/java/org/magnoliaseam/catalog/Catalog.java
@@ -18,8 +18,8 @@
     /** The services by name. */
     private final Map<ServiceName, Service> mServices = new HashMap<>();
 
-    /** The client accounts by key; empty if callers need no key. */
-    private final Map<String, Account> mAccounts;
+    /** The client accounts. */
+    private final AccountDirectory mAccounts;
 
     /** The limits for callers. */
     private final CallerLimits mLimits;
@@ -30,14 +30,14 @@
      * @param version the version
      * @param routes the routes
      * @param services the services
-     * @param accounts the client accounts by key; empty if callers need no key
+     * @param accounts the client accounts
      * @param limits the limits for callers
      */
     public Catalog(
             long version,
             List<Route> routes,
             List<Service> services,
-            Map<String, Account> accounts,
+            AccountDirectory accounts,
             CallerLimits limits) {
         mVersion = version;
         for (Route route : routes) {
@@ -47,7 +47,7 @@
         for (Service service : services) {
             mServices.put(service.name(), service);
         }
-        mAccounts = Map.copyOf(accounts);
+        mAccounts = accounts;
         mLimits = limits;
     }
 
@@ -91,22 +91,12 @@
     }
 
     /**
-     * Finds the client account that a key belongs to.
+     * Returns the client accounts.
      *
-     * @param key the key
-     * @return the account, if there is one
+     * @return the client accounts
      */
-    public Optional<Account> account(String key) {
-        return Optional.ofNullable(mAccounts.get(key));
-    }
-
-    /**
-     * Tells whether callers need a key.
-     *
-     * @return true if client accounts are published
-     */
-    public boolean keyed() {
-        return !mAccounts.isEmpty();
+    public AccountDirectory accounts() {
+        return mAccounts;
     }
 
     /**
--- a/router/src/main/java/org/magnoliaseam/platform/CallerProtocol.java
+++ b/router/src/main/java/org/magnoliaseam/platform/CallerProtocol.java
@@ -166,7 +166,7 @@
             return Result.err(fresh ? ErrorKind.NOT_FOUND : ErrorKind.NOT_READY);
         }
         Optional<Account> account = Optional.empty();
-        if (catalog.keyed() && !route.get().open()) {
+        if (catalog.accounts().keyed() && !route.get().open()) {
             account = account(request.getHeaders(), catalog);
             if (account.isEmpty()) {
                 return Result.err(fresh ? ErrorKind.UNAUTHENTICATED : ErrorKind.NOT_READY);
@@ -193,7 +193,7 @@
         if (authorization == null || !authorization.startsWith(BEARER)) {
             return Optional.empty();
         }
-        return catalog.account(authorization.substring(BEARER.length()).strip());
+        return catalog.accounts().account(authorization.substring(BEARER.length()).strip());
     }
 
     /**
--- a/router/src/main/java/org/magnoliaseam/platform/CatalogDecoder.java
+++ b/router/src/main/java/org/magnoliaseam/platform/CatalogDecoder.java
@@ -11,6 +11,7 @@
 import java.util.Optional;
 import java.util.OptionalInt;
 import org.magnoliaseam.catalog.Account;
+import org.magnoliaseam.catalog.AccountDirectory;
 import org.magnoliaseam.catalog.CallerLimits;
 import org.magnoliaseam.catalog.Catalog;
 import org.magnoliaseam.catalog.EngineCapacity;
@@ -193,9 +194,16 @@
      * @param root the configuration
      * @return the accounts by API key
      */
-    private static Map<String, Account> accounts(JsonNode root) {
+    private static AccountDirectory accounts(JsonNode root) {
+        JsonNode tenants = root.path("tenants");
+        if (tenants.isMissingNode() || tenants.isNull()) {
+            return AccountDirectory.NONE;
+        }
+        if (!tenants.isArray()) {
+            throw new IllegalArgumentException("tenants is not a list");
+        }
         Map<String, Account> accounts = new HashMap<>();
-        for (JsonNode node : root.path("tenants")) {
+        for (JsonNode node : tenants) {
             JsonNode rank = node.path("priority");
             OptionalInt priority =
                     rank.canConvertToInt() ? OptionalInt.of(rank.asInt()) : OptionalInt.empty();
@@ -204,7 +212,7 @@
                 accounts.put(key.asText(), account);
             }
         }
-        return accounts;
+        return AccountDirectory.of(accounts);
     }
 
     /**
--- a/testbed/src/test/java/org/magnoliaseam/testbed/proof/CallerTextIT.java
+++ b/testbed/src/test/java/org/magnoliaseam/testbed/proof/CallerTextIT.java
@@ -266,4 +266,36 @@
             assertThat(foreign).isEmpty();
         }
     }
+
+    /** Tests the keys of client accounts. */
+    @Nested
+    class Keys {
+
+        /** Guards against requests with any key, or none, that run once no key is left. */
+        @Test
+        void withoutAKeyLeftNoRequestRuns() throws IOException {
+            publish("desk", "domain-1", "i-1", tenants("{\"name\":\"school\",\"api_keys\":[]}"));
+            awaitStatus("key-1", 401);
+            sServer.requests().clear();
+            assertThat(status(key("never-published"))).isEqualTo(401);
+            assertThat(status("")).isEqualTo(401);
+            assertThat(sServer.requests()).isEmpty();
+            assertThat(call(request("GET /a", "open.example", id(), "")).status()).isEqualTo(200);
+        }
+
+        @Test
+        void withoutATenantLeftNoRequestRuns() throws IOException {
+            publish("desk", "domain-1", "i-1", tenants());
+            awaitStatus("key-1", 401);
+            assertThat(status("")).isEqualTo(401);
+        }
+
+        @Test
+        void configurationWithoutTenantsNeedsNoKey() throws IOException {
+            publish("desk", "domain-1", "i-1", "");
+            awaitStatus("never-published", 200);
+            assertThat(status("")).isEqualTo(200);
+            assertThat(sServer.requests().get(0).value("X-Tenant")).isEmpty();
+        }
+    }
 }
