--- a/router/src/main/java/org/magnoliaseam/platform/CallerProtocol.java
+++ b/router/src/main/java/org/magnoliaseam/platform/CallerProtocol.java
@@ -8,6 +8,7 @@
 import org.eclipse.jetty.http.HttpField;
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.http.HttpURI;
 import org.eclipse.jetty.io.EndPoint;
 import org.eclipse.jetty.server.Handler;
 import org.eclipse.jetty.server.Request;
@@ -161,7 +162,11 @@
      */
     private Result<Match, ErrorKind> match(Request request, Catalog catalog) {
         boolean fresh = mCurrentCatalog.fresh();
-        Optional<Route> route = catalog.route(host(request), request.getHttpURI().getPath());
+        HttpURI target = request.getHttpURI();
+        if (target.getPath() == null || target.getFragment() != null) {
+            return Result.err(ErrorKind.INVALID_REQUEST);
+        }
+        Optional<Route> route = catalog.route(host(request), target.getPath());
         if (route.isEmpty()) {
             return Result.err(fresh ? ErrorKind.NOT_FOUND : ErrorKind.NOT_READY);
         }
--- a/router/src/main/java/org/magnoliaseam/platform/ServerProtocol.java
+++ b/router/src/main/java/org/magnoliaseam/platform/ServerProtocol.java
@@ -60,8 +60,8 @@
     public Cancellation start(TryOrder order, AttemptListener listener) {
         GatewayRequest callerRequest = order.request();
         InetSocketAddress address = order.server().address();
-        Request request = mClient.newRequest(address.getHostString(), address.getPort());
-        request.method(callerRequest.method()).path(callerRequest.target());
+        Request request = new TargetRequest(mClient, address, callerRequest.target());
+        request.method(callerRequest.method());
         long remainingMillis =
                 TimeUnit.NANOSECONDS.toMillis(order.deadlineNanos() - mClock.nanos());
         request.headers(
--- a/testbed/src/test/java/org/magnoliaseam/testbed/proof/CallerTextIT.java
+++ b/testbed/src/test/java/org/magnoliaseam/testbed/proof/CallerTextIT.java
@@ -298,4 +298,44 @@
             assertThat(sServer.requests().get(0).value("X-Tenant")).isEmpty();
         }
     }
+
+    /** Tests targets of requests. */
+    @Nested
+    class Targets {
+
+        /** Guards against targets that an HTTP library parses again and changes. */
+        @ParameterizedTest
+        @ValueSource(
+                strings = {
+                    "//enrol/course-50?seats=2",
+                    "//enrol",
+                    "///",
+                    "//user@host:80/x",
+                    "/a//b/",
+                    "/a/./b/../c",
+                    "/a%2Fb%20c%C3%A9",
+                    "/a;p=1;q/b",
+                    "/a?",
+                    "/a?b?c=//d",
+                    "/a?x=%zz&y=|",
+                    "/a|b",
+                    "/a:b@c",
+                    "/a?b=c+d"
+                })
+        void targetsAreForwardedAsTheyWereSent(String target) throws IOException {
+            RawMessage answer = call(request("GET " + target, "desk.example", id(), key("key-1")));
+            assertThat(answer.status()).isEqualTo(200);
+            assertThat(sServer.requests().get(0).startLine())
+                    .isEqualTo("GET " + target + " HTTP/1.1");
+        }
+
+        @ParameterizedTest
+        @ValueSource(strings = {"*", "/a#b", "a/b", "/%"})
+        void targetsThatAreNoPathAreRefusedAndNotSent(String target) throws IOException {
+            RawMessage answer =
+                    call(request("OPTIONS " + target, "desk.example", id(), key("key-1")));
+            assertThat(answer.status()).isBetween(400, 404);
+            assertThat(sServer.requests()).isEmpty();
+        }
+    }
 }
