--- a/router/src/main/java/org/magnoliaseam/model/BackendServerId.java
+++ b/router/src/main/java/org/magnoliaseam/model/BackendServerId.java
@@ -3,7 +3,7 @@
 /**
  * Identifies a backend server.
  *
- * @param value the identifier as written in the settings; matches {@link Identifiers#PATTERN}
+ * @param value the identifier as it was published; {@link Identifiers#isText} accepts it
  */
 public record BackendServerId(String value) implements Comparable<BackendServerId> {
 
@@ -13,7 +13,7 @@
      * @throws IllegalArgumentException if the value is malformed
      */
     public BackendServerId {
-        Identifiers.requireValid(value);
+        Identifiers.requireText(value);
     }
 
     @Override
--- a/router/src/main/java/org/magnoliaseam/model/ClientAccountId.java
+++ b/router/src/main/java/org/magnoliaseam/model/ClientAccountId.java
@@ -3,7 +3,7 @@
 /**
  * Identifies a client account.
  *
- * @param value the identifier as written in the settings; matches {@link Identifiers#PATTERN}
+ * @param value the identifier as it was published; {@link Identifiers#isText} accepts it
  */
 public record ClientAccountId(String value) implements Comparable<ClientAccountId> {
 
@@ -13,7 +13,7 @@
      * @throws IllegalArgumentException if the value is malformed
      */
     public ClientAccountId {
-        Identifiers.requireValid(value);
+        Identifiers.requireText(value);
     }
 
     @Override
--- a/router/src/main/java/org/magnoliaseam/model/FailureDomain.java
+++ b/router/src/main/java/org/magnoliaseam/model/FailureDomain.java
@@ -3,7 +3,7 @@
 /**
  * Identifies a failure domain: a group of VMs that may fail together.
  *
- * @param value the identifier as written in the settings; matches {@link Identifiers#PATTERN}
+ * @param value the identifier as it was published; {@link Identifiers#isText} accepts it
  */
 public record FailureDomain(String value) implements Comparable<FailureDomain> {
 
@@ -13,7 +13,7 @@
      * @throws IllegalArgumentException if the value is malformed
      */
     public FailureDomain {
-        Identifiers.requireValid(value);
+        Identifiers.requireText(value);
     }
 
     @Override
--- a/router/src/main/java/org/magnoliaseam/model/ServiceName.java
+++ b/router/src/main/java/org/magnoliaseam/model/ServiceName.java
@@ -3,7 +3,7 @@
 /**
  * Identifies a service by the name under which callers reach it.
  *
- * @param value the identifier as written in the settings; matches {@link Identifiers#PATTERN}
+ * @param value the identifier as it was published; {@link Identifiers#isText} accepts it
  */
 public record ServiceName(String value) implements Comparable<ServiceName> {
 
@@ -13,7 +13,7 @@
      * @throws IllegalArgumentException if the value is malformed
      */
     public ServiceName {
-        Identifiers.requireValid(value);
+        Identifiers.requireText(value);
     }
 
     @Override
--- a/router/src/main/java/org/magnoliaseam/platform/CatalogDecoder.java
+++ b/router/src/main/java/org/magnoliaseam/platform/CatalogDecoder.java
@@ -10,6 +10,8 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalInt;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
 import org.magnoliaseam.catalog.Account;
 import org.magnoliaseam.catalog.AccountDirectory;
 import org.magnoliaseam.catalog.CallerLimits;
@@ -21,6 +23,7 @@
 import org.magnoliaseam.catalog.WeightedService;
 import org.magnoliaseam.error.Result;
 import org.magnoliaseam.model.ClientAccountId;
+import org.magnoliaseam.model.Identifiers;
 import org.magnoliaseam.model.ServiceName;
 
 /** Decodes the configuration that the platform publishes. */
@@ -44,6 +47,9 @@
     /** Milliseconds per second. */
     private static final double MILLIS_PER_SECOND = 1000;
 
+    /** Logs what is left out of a configuration. */
+    private static final Logger LOG = LogManager.getLogger("store");
+
     /** Parses JSON. */
     private static final ObjectMapper MAPPER = new ObjectMapper();
 
@@ -189,7 +195,8 @@
     }
 
     /**
-     * Reads the client accounts.
+     * Reads the client accounts. One whose name cannot be sent to backend servers is left out, so
+     * that its keys are unknown and the others are in force.
      *
      * @param root the configuration
      * @return the accounts by API key
@@ -203,11 +210,20 @@
             throw new IllegalArgumentException("tenants is not a list");
         }
         Map<String, Account> accounts = new HashMap<>();
-        for (JsonNode node : tenants) {
+        for (int i = 0; i < tenants.size(); i++) {
+            JsonNode node = tenants.get(i);
+            JsonNode name = node.path("name");
+            if (!name.isTextual() || !Identifiers.isText(name.asText())) {
+                LOG.warn(
+                        "store: client account left out, field=tenants[{}].name reason={}",
+                        i,
+                        "no text for a header field");
+                continue;
+            }
             JsonNode rank = node.path("priority");
             OptionalInt priority =
                     rank.canConvertToInt() ? OptionalInt.of(rank.asInt()) : OptionalInt.empty();
-            Account account = new Account(new ClientAccountId(text(node, "name")), priority);
+            Account account = new Account(new ClientAccountId(name.asText()), priority);
             for (JsonNode key : node.path("api_keys")) {
                 accounts.put(key.asText(), account);
             }
--- a/router/src/main/java/org/magnoliaseam/platform/ServerProtocol.java
+++ b/router/src/main/java/org/magnoliaseam/platform/ServerProtocol.java
@@ -74,11 +74,11 @@
                     }
                     fields.put(WireNames.REQUEST_ID, callerRequest.id().value());
                     fields.put(WireNames.DEADLINE, Long.toString(Math.max(1, remainingMillis)));
-                    fields.put(WireNames.TARGET, order.server().id().value());
+                    fields.put(WireNames.TARGET, WireNames.value(order.server().id().value()));
                     callerRequest
                             .account()
-                            .ifPresent(
-                                    account -> fields.put(WireNames.ACCOUNT, account.id().value()));
+                            .map(account -> WireNames.value(account.id().value()))
+                            .ifPresent(name -> fields.put(WireNames.ACCOUNT, name));
                     if (callerRequest.service().engine().isPresent()) {
                         int priority =
                                 Math.max(0, Math.min(LOWEST_PRIORITY, callerRequest.priority()));
--- a/router/src/main/java/org/magnoliaseam/platform/WireNames.java
+++ b/router/src/main/java/org/magnoliaseam/platform/WireNames.java
@@ -1,5 +1,6 @@
 package org.magnoliaseam.platform;
 
+import java.nio.charset.StandardCharsets;
 import java.util.Locale;
 import java.util.Set;
 
@@ -96,4 +97,15 @@
     static boolean returned(String name) {
         return !NOT_RETURNED.contains(name.toLowerCase(Locale.ROOT));
     }
+
+    /**
+     * Returns a name as the value of a header field. Its bytes are those of the name in UTF-8; the
+     * HTTP client writes one byte for each character.
+     *
+     * @param name the name
+     * @return the value
+     */
+    static String value(String name) {
+        return new String(name.getBytes(StandardCharsets.UTF_8), StandardCharsets.ISO_8859_1);
+    }
 }
--- a/testbed/src/test/java/org/magnoliaseam/testbed/proof/CallerTextIT.java
+++ b/testbed/src/test/java/org/magnoliaseam/testbed/proof/CallerTextIT.java
@@ -338,4 +338,53 @@
             assertThat(sServer.requests()).isEmpty();
         }
     }
+
+    /** Tests names that operators choose. */
+    @Nested
+    class Names {
+
+        /** Guards against a configuration that one name keeps out of force. */
+        @ParameterizedTest
+        @ValueSource(
+                strings = {
+                    "Kameelboom West",
+                    "West/East: 50%",
+                    "-hyphen",
+                    "<none>",
+                    "\u00c9cole n\u00b0 2",
+                    "\u5b66\u6821"
+                })
+        void tenantsOfAnyNameAreServed(String name) throws IOException {
+            String tenant = "{\"name\":\"" + name + "\",\"api_keys\":[\"key-2\"]}";
+            publish("desk", "domain-1", "i-1", tenants(tenant));
+            awaitStatus("key-2", 200);
+            assertThat(status(key("key-1"))).isEqualTo(401);
+            String sent = sServer.requests().get(0).value("X-Tenant").orElse("");
+            byte[] bytes = sent.getBytes(StandardCharsets.ISO_8859_1);
+            assertThat(new String(bytes, StandardCharsets.UTF_8)).isEqualTo(name);
+        }
+
+        @Test
+        void servicesAndDomainsAndServersOfAnyNameAreUsed() throws IOException {
+            sStore.delete("servers/i-1");
+            publish("course desk", "zone 1/a", "i 2:b", tenants(SCHOOL));
+            awaitStatus("key-1", 200);
+            sServer.requests().clear();
+            assertThat(status(key("key-1"))).isEqualTo(200);
+            assertThat(sServer.requests().get(0).value("X-Target-Instance")).contains("i 2:b");
+            sStore.put("op/evacuate/zone 1/a", "{}");
+            awaitStatus("key-1", 503);
+            sStore.delete("op/evacuate/zone 1/a");
+            sStore.delete("servers/i 2:b");
+        }
+
+        @Test
+        void nameThatNoHeaderFieldHoldsConcernsItsTenantAlone() throws IOException {
+            String broken = "{\"name\":\"two\\nlines\",\"api_keys\":[\"key-3\"]}";
+            publish("desk", "domain-1", "i-1", tenants(broken, SCHOOL.replace("key-1", "key-4")));
+            awaitStatus("key-4", 200);
+            assertThat(status(key("key-3"))).isEqualTo(401);
+            await().atMost(TIMEOUT).until(() -> sRouter.output().contains("tenants[0].name"));
+        }
+    }
 }
