Limit the memory of incomplete answers over all requests

Cause: up to 8 MB were kept of each answer and 1 MB of each event, with no limit of their sum; doubling and copying need up to three times as much. Shown by the account "connection_lost: OutOfMemoryError" in the log of the red test. Ruled out at this machine's speed, by the same test on: header lines, a header line, chunks, events, an event line and trailers without end (green before, too).

Change: AnswerMemory. Each answer has 32 KB freely; beyond that an answer may hold at most what is left of an eighth of the heap, so many without end converge and leave room. What exceeds it ends as "incomplete: The answer is too large." and counts in the outlier history. Bodies are kept in parts and joined once; of a line of a stream only ids are kept a second time. Heads and trailers of responses end at 32 KB (no limit before; no test was red for it).

--- a/router/src/main/java/org/magnoliaseam/gateway/AttemptAnswer.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/AttemptAnswer.java
@@ -4,13 +4,15 @@
 import java.nio.ByteBuffer;
 import java.util.List;
 import java.util.Optional;
-import java.util.concurrent.CompletableFuture;
 import org.magnoliaseam.exchange.AnswerHead;
 import org.magnoliaseam.gateway.EventSplitter.Event;
 
 /** Reads the answer of one attempt: a stream of events or a whole body. Not thread-safe. */
 final class AttemptAnswer {
 
+    /** Explains in the log record why an answer was given up. */
+    static final String TOO_LARGE = "The answer is too large.";
+
     /** The media type of a stream of events. */
     private static final String EVENT_STREAM = "text/event-stream";
 
@@ -23,11 +25,14 @@
     /** The request as it is sent to the backend server. */
     private final TryOrder mOrder;
 
+    /** The memory that the answer takes while it is incomplete. */
+    private final AnswerMemory.Share mMemory;
+
     /** Splits a stream into events. */
-    private final EventSplitter mSplitter = new EventSplitter();
+    private final EventSplitter mSplitter;
 
     /** The body of an answer that is not a stream. */
-    private final BodyBuffer mBody = new BodyBuffer();
+    private final BodyBuffer mBody;
 
     /** Status and header fields; null before they have been received. */
     private AnswerHead mHead;
@@ -35,6 +40,9 @@
     /** Whether the answer is a stream of events. */
     private boolean mStreamed;
 
+    /** Whether a whole body is too large. */
+    private boolean mOverflowed;
+
     /** Whether the stream has had an event. */
     private boolean mBegun;
 
@@ -50,9 +58,13 @@
      * Creates an answer that has not begun.
      *
      * @param order the request as it is sent to the backend server
+     * @param memory limits the memory of all answers
      */
-    AttemptAnswer(TryOrder order) {
+    AttemptAnswer(TryOrder order, AnswerMemory memory) {
         mOrder = order;
+        mMemory = memory.share();
+        mSplitter = new EventSplitter(mMemory);
+        mBody = new BodyBuffer(mMemory);
     }
 
     /**
@@ -95,16 +107,6 @@
         return mHead.status() >= MIN_SERVER_ERROR;
     }
 
-    /**
-     * Adds a part of a whole body.
-     *
-     * @param bytes the part
-     * @return completed if it was added; failed if the body is too large
-     */
-    CompletableFuture<Void> add(ByteBuffer bytes) {
-        return mBody.add(bytes);
-    }
-
     /**
      * Returns a whole body.
      *
@@ -114,13 +116,22 @@
         return mBody.bytes();
     }
 
+    /** Releases the memory of the answer when it has ended. */
+    void release() {
+        mMemory.release();
+    }
+
     /**
-     * Reads a part of a stream.
+     * Receives a part of a whole body or of a stream.
      *
      * @param bytes the part
-     * @return the events that it completes; empty if none
+     * @return the events of a stream that it completes; empty if none
      */
-    Optional<Events> feed(ByteBuffer bytes) {
+    Optional<Events> receive(ByteBuffer bytes) {
+        if (!mStreamed) {
+            mOverflowed |= !mBody.add(bytes);
+            return Optional.empty();
+        }
         List<Event> events = mSplitter.feed(bytes);
         if (events.isEmpty()) {
             return Optional.empty();
@@ -136,12 +147,12 @@
     }
 
     /**
-     * Tells whether an event exceeds the size limit.
+     * Tells whether the answer exceeds a size limit.
      *
-     * @return true if the stream is unusable
+     * @return true if the answer is unusable
      */
     boolean overflowed() {
-        return mSplitter.overflowed();
+        return mOverflowed || mSplitter.overflowed();
     }
 
     /**
--- a/router/src/main/java/org/magnoliaseam/gateway/BodyBuffer.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/BodyBuffer.java
@@ -1,31 +1,49 @@
 package org.magnoliaseam.gateway;
 
-import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
-import java.util.concurrent.CompletableFuture;
+import java.util.ArrayList;
+import java.util.List;
 
-/** Collects the body of an answer that is not a stream. Not thread-safe. */
+/** Collects the body of an answer up to a size limit. Not thread-safe. */
 final class BodyBuffer {
 
     /** The largest accepted body, in bytes. */
     private static final int MAX_BYTES = 8 * 1024 * 1024;
 
-    /** The body so far. */
-    private final ByteArrayOutputStream mBytes = new ByteArrayOutputStream();
+    /** Limits the memory of the body. */
+    private final AnswerMemory.Share mMemory;
+
+    /** The parts of the body so far. */
+    private final List<byte[]> mParts = new ArrayList<>(1);
+
+    /** The size of the body so far, in bytes. */
+    private int mSize;
+
+    /**
+     * Creates an empty buffer.
+     *
+     * @param memory limits the memory of the body
+     */
+    BodyBuffer(AnswerMemory.Share memory) {
+        mMemory = memory;
+    }
 
     /**
      * Adds a part of the body.
      *
      * @param bytes the part
-     * @return completed if the part was added; failed if the body is too large
+     * @return true if the part was added; false if the body is too large
      */
-    CompletableFuture<Void> add(ByteBuffer bytes) {
+    boolean add(ByteBuffer bytes) {
+        int size = mSize + bytes.remaining();
+        if (size > MAX_BYTES || !mMemory.resize(size)) {
+            return false;
+        }
         byte[] copy = new byte[bytes.remaining()];
         bytes.get(copy);
-        mBytes.writeBytes(copy);
-        return mBytes.size() > MAX_BYTES
-                ? CompletableFuture.failedFuture(new IllegalStateException("answer too large"))
-                : CompletableFuture.completedFuture(null);
+        mParts.add(copy);
+        mSize = size;
+        return true;
     }
 
     /**
@@ -34,6 +52,8 @@
      * @return the bytes so far
      */
     byte[] bytes() {
-        return mBytes.toByteArray();
+        ByteBuffer joined = ByteBuffer.allocate(mSize);
+        mParts.forEach(joined::put);
+        return joined.array();
     }
 }
--- a/router/src/main/java/org/magnoliaseam/gateway/EventSplitter.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/EventSplitter.java
@@ -28,12 +28,30 @@
     /** The bytes of the current, incomplete event. */
     private final ByteArrayOutputStream mEvent = new ByteArrayOutputStream(256);
 
-    /** The bytes of the current line so far. */
+    /** Limits the memory of the current event. */
+    private final AnswerMemory.Share mMemory;
+
+    /** The first bytes of the current line; the whole line if it holds an id. */
     private final ByteArrayOutputStream mLine = new ByteArrayOutputStream(128);
 
     /** The id of the current, incomplete event. */
     private String mId = "";
 
+    /** Whether the current line holds no id. */
+    private boolean mOtherLine;
+
+    /** Whether an event was too large. */
+    private boolean mOverflowed;
+
+    /**
+     * Creates a splitter.
+     *
+     * @param memory limits the memory of the current event
+     */
+    EventSplitter(AnswerMemory.Share memory) {
+        mMemory = memory;
+    }
+
     /**
      * Processes the next bytes of the stream.
      *
@@ -47,13 +65,26 @@
             mEvent.write(next);
             if (next == '\n') {
                 endLine(events);
-            } else if (next != '\r') {
-                mLine.write(next);
+            } else if (next != '\r' && !mOtherLine) {
+                addToLine(next);
             }
         }
+        mOverflowed |= mEvent.size() > MAX_EVENT_BYTES || !mMemory.resize(mEvent.size());
         return events;
     }
 
+    /**
+     * Adds a byte to the current line while it may hold an id.
+     *
+     * @param next the byte
+     */
+    private void addToLine(byte next) {
+        mLine.write(next);
+        mOtherLine =
+                mLine.size() == ID_FIELD.length()
+                        && !mLine.toString(StandardCharsets.UTF_8).equals(ID_FIELD);
+    }
+
     /**
      * Tells whether the buffer holds an incomplete event.
      *
@@ -69,7 +100,7 @@
      * @return true if the current event is too large
      */
     boolean overflowed() {
-        return mEvent.size() > MAX_EVENT_BYTES;
+        return mOverflowed;
     }
 
     /**
@@ -80,6 +111,7 @@
     private void endLine(List<Event> events) {
         String line = mLine.toString(StandardCharsets.UTF_8);
         mLine.reset();
+        mOtherLine = false;
         if (line.isEmpty()) {
             events.add(new Event(mEvent.toByteArray(), mId));
             mEvent.reset();
--- a/router/src/main/java/org/magnoliaseam/gateway/GatewayAttempt.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/GatewayAttempt.java
@@ -68,7 +68,7 @@
         mStart = start;
         mParts = parts;
         mOrder = order;
-        mAnswer = new AttemptAnswer(order);
+        mAnswer = new AttemptAnswer(order, parts.answers());
         mFeedback = parts.pool().feedback(start, order.request());
         mPermit = parts.permits().nextId();
         mProgress = new AttemptProgress(order.request().route(), parts.clock().nanos());
@@ -261,12 +261,10 @@
 
     @Override
     public CompletableFuture<Void> content(ByteBuffer bytes) {
-        if (!mAnswer.streamed()) {
-            return mAnswer.add(bytes);
-        }
-        Optional<AttemptAnswer.Events> events = mAnswer.feed(bytes);
+        Optional<AttemptAnswer.Events> events = mAnswer.receive(bytes);
         if (mAnswer.overflowed()) {
-            return CompletableFuture.failedFuture(new IllegalStateException("event too large"));
+            return CompletableFuture.failedFuture(
+                    new IllegalStateException(AttemptAnswer.TOO_LARGE));
         }
         if (events.isEmpty()) {
             return CompletableFuture.completedFuture(null);
@@ -300,6 +298,7 @@
         } else {
             mCall.answered(this, mAnswer.head(), mAnswer.body());
         }
+        mAnswer.release();
     }
 
     @Override
@@ -307,6 +306,7 @@
         if (!markEnded()) {
             return;
         }
+        mAnswer.release();
         if (!mGivenUp && !mProgress.survived() && mayBeCrash(failure)) {
             mFeedback.lost();
         }
@@ -316,7 +316,7 @@
         } else {
             mFeedback.failed(failure);
         }
-        mCall.failed(this, failure, detail);
+        mCall.failed(this, failure, mAnswer.overflowed() ? AttemptAnswer.TOO_LARGE : detail);
         mParts.waiting().drain();
     }
 
--- a/router/src/main/java/org/magnoliaseam/gateway/GatewayParts.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/GatewayParts.java
@@ -11,6 +11,7 @@
  * @param port sends attempts to backend servers
  * @param permits asks for permits of engines
  * @param waiting holds the requests that wait for a backend server
+ * @param answers limits the memory of incomplete answers
  * @param log writes the log record of each request
  * @param clock the clock
  */
@@ -19,6 +20,7 @@
         AttemptSender port,
         EnginePermits permits,
         WaitingCalls waiting,
+        AnswerMemory answers,
         RequestLog log,
         MonotonicClock clock) {
 
@@ -42,6 +44,7 @@
                 port,
                 new EnginePermits(peers, pool::membership, clock),
                 new WaitingCalls(clock),
+                AnswerMemory.ofHeap(),
                 log,
                 clock);
     }
--- a/router/src/main/java/org/magnoliaseam/route/HttpFactory.java
+++ b/router/src/main/java/org/magnoliaseam/route/HttpFactory.java
@@ -33,6 +33,9 @@
     /** The maximum size of a request header in bytes. */
     private static final int MAX_HEADER_BYTES = 16 * 1024;
 
+    /** The maximum size of the head of a response, and of its trailers, in bytes. */
+    private static final int MAX_RESPONSE_HEADER_BYTES = 32 * 1024;
+
     /** The maximum number of connections to one backend server. */
     private static final int MAX_CONNECTIONS = 1024;
 
@@ -173,6 +176,7 @@
         client.setIdleTimeout(IDLE_TIMEOUT_MILLIS);
         client.setMaxConnectionsPerDestination(MAX_CONNECTIONS);
         client.setMaxRequestsQueuedPerDestination(MAX_QUEUED);
+        client.setMaxResponseHeadersSize(MAX_RESPONSE_HEADER_BYTES);
         client.setFollowRedirects(false);
         client.setUserAgentField(null);
         return client;
--- a/router/src/test/java/org/magnoliaseam/gateway/EventSplitterTest.java
+++ b/router/src/test/java/org/magnoliaseam/gateway/EventSplitterTest.java
@@ -25,7 +25,7 @@
         byte[] all = STREAM.getBytes(StandardCharsets.UTF_8);
         int from = Math.min(all.length, Math.min(first, second));
         int to = Math.min(all.length, Math.max(first, second));
-        EventSplitter splitter = new EventSplitter();
+        EventSplitter splitter = new EventSplitter(new AnswerMemory(0).share());
         ByteArrayOutputStream out = new ByteArrayOutputStream();
         List<String> ids = new ArrayList<>();
         for (byte[] part :
@@ -46,7 +46,7 @@
     @Property(seed = "20261204", tries = 100)
     void truncatedEventIsPartial(@ForAll @IntRange(min = 1, max = 4) int missing) {
         byte[] all = "id: 1\ndata: a\n\n".getBytes(StandardCharsets.UTF_8);
-        EventSplitter splitter = new EventSplitter();
+        EventSplitter splitter = new EventSplitter(new AnswerMemory(0).share());
         splitter.feed(ByteBuffer.wrap(all, 0, all.length - missing));
         assertThat(splitter.partial()).isTrue();
     }
