Answer every request that a stopping process has read, then close the listener

Cause: the listener outlived the last moment at which requests were answered; a connection that waits for the rest of a request counted as idle; whether requests are taken was not asked again when the body was complete; nothing ended the requests in progress before the process. Seen by the red tests, one for each. Ruled out: that the new shutdown hook runs twice for two signals.

Change: the order of the stop (decided in GatewayProcess.stop): no new work; requests in progress, until 0.7 s (was 0.5 s) before the end of the grace period; a final answer for each that is left; the listener; at most 0.3 s for the last answers; the rest. Connections that receive a request stay open. A payment whose deadline lies beyond the stop is refused before it is sent, so that its caller takes it elsewhere while it still can.

--- a/router/src/main/java/org/magnoliaseam/caller/ObservedConnectionFactory.java
+++ b/router/src/main/java/org/magnoliaseam/caller/ObservedConnectionFactory.java
@@ -106,12 +106,20 @@
         return connection;
     }
 
-    /** Closes the connections on which no request is in progress. */
-    public void closeIdle() {
+    /**
+     * Closes the connections on which no request is received or in progress.
+     *
+     * @return the number of the other connections
+     */
+    public int closeIdle() {
+        int others = 0;
         for (ObservedEndPoint endPoint : mOpen) {
-            if (endPoint.isFillInterested()) {
+            if (endPoint.isIdle()) {
                 endPoint.close();
+            } else {
+                others++;
             }
         }
+        return others;
     }
 }
--- a/router/src/main/java/org/magnoliaseam/caller/ObservedEndPoint.java
+++ b/router/src/main/java/org/magnoliaseam/caller/ObservedEndPoint.java
@@ -105,6 +105,15 @@
         mReceiving = false;
     }
 
+    /**
+     * Tells whether the connection waits for the first byte of a request.
+     *
+     * @return false while a request is received or in progress
+     */
+    synchronized boolean isIdle() {
+        return mReadCallback != null && !mReceiving;
+    }
+
     @Override
     public int fill(ByteBuffer buffer) throws IOException {
         synchronized (this) {
--- a/router/src/main/java/org/magnoliaseam/gateway/Gateway.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/Gateway.java
@@ -49,6 +49,11 @@
         mParts.waiting().drain();
     }
 
+    /** Ends the requests in progress with a final answer each, since the process ends. */
+    public void end() {
+        mCalls.forEach(GatewayCall::processEnds);
+    }
+
     /** Closes idle connections to backend servers that are leaving; called periodically. */
     public void closeLeaving() {
         mParts.pool().leaving().forEach(mParts.port()::closeIdle);
--- a/router/src/main/java/org/magnoliaseam/gateway/GatewayCall.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/GatewayCall.java
@@ -140,6 +140,11 @@
                 });
     }
 
+    /** Ends the request because the process ends. */
+    void processEnds() {
+        mActions.decide(() -> giveUpAs(ErrorKind.LEAVING));
+    }
+
     /**
      * Tells whether an attempt no longer matters.
      *
@@ -359,6 +364,9 @@
      * @param kind the error kind
      */
     private void giveUpAs(ErrorKind kind) {
+        if (mEnded) {
+            return;
+        }
         if (mPlacement.attempt() != null) {
             mPlacement.history().countPossibleRun();
         }
--- a/router/src/main/java/org/magnoliaseam/platform/CallerProtocol.java
+++ b/router/src/main/java/org/magnoliaseam/platform/CallerProtocol.java
@@ -18,6 +18,7 @@
 import org.magnoliaseam.caller.ObservedEndPoint;
 import org.magnoliaseam.catalog.Account;
 import org.magnoliaseam.catalog.Catalog;
+import org.magnoliaseam.catalog.RequestKind;
 import org.magnoliaseam.catalog.Route;
 import org.magnoliaseam.catalog.Service;
 import org.magnoliaseam.error.ErrorKind;
@@ -126,10 +127,11 @@
                         body ->
                                 body.fold(
                                         bytes -> {
-                                            GatewayRequest gatewayRequest =
+                                            submit(
                                                     gatewayRequest(
-                                                            request, id, found, bytes, arrived);
-                                            submit(gatewayRequest, answer, endPoint);
+                                                            request, id, found, bytes, arrived),
+                                                    answer,
+                                                    endPoint);
                                             return null;
                                         },
                                         refusal -> {
@@ -281,7 +283,9 @@
     }
 
     /**
-     * Runs a request and cancels it if the caller closes the connection.
+     * Runs a request and cancels it if the caller closes the connection. During a shutdown, a
+     * request whose body was received too late is refused, and so is one that must not run twice if
+     * it could still run when the process ends.
      *
      * @param request the request
      * @param answer writes the response
@@ -289,6 +293,11 @@
      */
     private void submit(
             GatewayRequest request, CallerResponse answer, Optional<ObservedEndPoint> endPoint) {
+        boolean once = request.route().kind() == RequestKind.ONCE;
+        if (mShutdown.closed() || once && mShutdown.mayOutlast(request.deadlineNanos())) {
+            answer.refuse(Refusal.of(ErrorKind.LEAVING), LEAVING_RETRY_AFTER_MILLIS);
+            return;
+        }
         Cancellation cancellation = mGateway.submit(request, answer);
         endPoint.ifPresent(observed -> answer.observe(observed, cancellation::cancel));
     }
--- a/router/src/main/java/org/magnoliaseam/route/GatewayProcess.java
+++ b/router/src/main/java/org/magnoliaseam/route/GatewayProcess.java
@@ -5,7 +5,9 @@
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.eclipse.jetty.client.HttpClient;
+import org.eclipse.jetty.server.Connector;
 import org.eclipse.jetty.server.Server;
+import org.eclipse.jetty.server.ServerConnector;
 import org.magnoliaseam.caller.ObservedConnectionFactory;
 import org.magnoliaseam.gateway.Gateway;
 import org.magnoliaseam.gateway.ShutdownState;
@@ -32,8 +34,14 @@
     /** The time within which the load balancer removes an unready VM, in milliseconds. */
     private static final long BALANCER_MILLIS = 2500;
 
-    /** The time before the end of the grace period at which the process ends, in milliseconds. */
-    private static final long EXIT_MILLIS = 500;
+    /**
+     * The time before the end of the grace period at which requests in progress are ended, in
+     * milliseconds.
+     */
+    private static final long EXIT_MILLIS = 700;
+
+    /** The time limit for sending the last answers, in milliseconds. */
+    private static final long CLOSE_MILLIS = 300;
 
     /**
      * The interval between checks for remaining requests during a planned stop, in milliseconds.
@@ -147,14 +155,15 @@
 
     /**
      * Stops the process without interrupting requests in progress, as far as the grace period
-     * allows. New requests are accepted until the load balancer sends no more; then idle
-     * connections are closed.
+     * allows. New requests are accepted until the load balancer sends no more; then they are
+     * refused and idle connections are closed. At the end nothing listens any more, so that a
+     * caller that connects learns at once that the process is gone.
      */
     void stop() {
         long begin = mClock.nanos();
-        mShutdown.leave();
-        LOG.info("route: stopping, active={}", mGateway.active());
         long limit = mReload.get().stopGrace().toMillis() - EXIT_MILLIS;
+        mShutdown.leave(begin + limit * NANOS_PER_MILLI);
+        LOG.info("route: stopping, active={}", mGateway.active());
         try {
             TimeUnit.MILLISECONDS.sleep(Math.min(BALANCER_MILLIS, limit));
             mShutdown.close();
@@ -162,7 +171,12 @@
                 mConnections.closeIdle();
                 TimeUnit.MILLISECONDS.sleep(DRAIN_CHECK_MILLIS);
             } while (mGateway.active() > 0 && millisSince(begin) < limit);
-            TimeUnit.MILLISECONDS.sleep(DRAIN_CHECK_MILLIS);
+            mGateway.end();
+            closeListener();
+            long end = millisSince(begin) + CLOSE_MILLIS;
+            while (mConnections.closeIdle() > 0 && millisSince(begin) < end) {
+                TimeUnit.MILLISECONDS.sleep(DRAIN_CHECK_MILLIS);
+            }
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
@@ -171,6 +185,16 @@
         LOG.info("route: stopped, active={}", mGateway.active());
     }
 
+    /** Stops accepting connections of callers. */
+    private void closeListener() {
+        for (Connector connector : mServer.getConnectors()) {
+            if (PortHandler.CALLERS.equals(connector.getName())
+                    && connector instanceof ServerConnector listener) {
+                listener.close();
+            }
+        }
+    }
+
     /** Closes idle connections to leaving backend servers. */
     private void closeLeaving() {
         try {
