Close the connection of a caller that left

Cause: the request ended, but its exchange was never completed, so the HTTP server kept the connection. Shown by the descriptors of the process: 100 callers that left, all still open after 10 s. The same after a failed write.

Change: CallerResponse closes the connection and completes the exchange in both cases.

--- a/router/src/main/java/org/magnoliaseam/platform/CallerResponse.java
+++ b/router/src/main/java/org/magnoliaseam/platform/CallerResponse.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.CompletableFuture;
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.io.EofException;
 import org.eclipse.jetty.server.Response;
 import org.eclipse.jetty.util.Callback;
 import org.magnoliaseam.caller.ErrorBody;
@@ -75,7 +76,24 @@
             }
             mObserved = endPoint;
         }
-        endPoint.observe(onGone);
+        endPoint.observe(
+                () -> {
+                    onGone.run();
+                    callerGone(endPoint);
+                });
+    }
+
+    /**
+     * Ends the exchange without an answer, since the caller has closed the connection. Without
+     * that, the server keeps the connection and its descriptor.
+     *
+     * @param endPoint the connection
+     */
+    private void callerGone(ObservedEndPoint endPoint) {
+        if (finish()) {
+            endPoint.close();
+            mCallback.failed(new EofException("The caller closed the connection."));
+        }
     }
 
     @Override
@@ -94,6 +112,12 @@
         useChunkedEncoding();
         Callback.Completable completable = new Callback.Completable();
         mResponse.write(false, bytes, completable);
+        completable.whenComplete(
+                (ignored, failure) -> {
+                    if (failure != null) {
+                        breakOff();
+                    }
+                });
         return completable;
     }
 
