Ask servers for no encoding, and send heads up to the limit for callers

Cause: the start of the HTTP client adds decoders, and with them "Accept-Encoding: gzip"; the factory cleared them before the start. The client's limit for heads is 8 KB unless it is set. Both shown by a server that records the fields that it gets.

Change: the decoders are cleared after the start; the limit is that of callers plus 2 KB for added fields.

Before: ForwardedFieldsIT 2 of 2 red. After: 2 of 2.

--- a/router/src/main/java/org/magnoliaseam/route/GatewayFactory.java
+++ b/router/src/main/java/org/magnoliaseam/route/GatewayFactory.java
@@ -163,7 +163,6 @@
         client.setConnectTimeout(CONNECT_MILLIS);
         client.setIdleTimeout(IDLE_MILLIS);
         client.setHttpCookieStore(new HttpCookieStore.Empty());
-        client.getContentDecoderFactories().clear();
         return client;
     }
 
--- a/router/src/main/java/org/magnoliaseam/route/GatewayProcess.java
+++ b/router/src/main/java/org/magnoliaseam/route/GatewayProcess.java
@@ -134,6 +134,8 @@
      */
     void start() throws Exception {
         mClient.start();
+        // The start of the client adds decoders, for which it would ask servers to encode bodies.
+        mClient.getContentDecoderFactories().clear();
         mFeed.start();
         mServer.start();
         mGossip.start(mTimers, mReceiver);
--- a/router/src/main/java/org/magnoliaseam/route/HttpFactory.java
+++ b/router/src/main/java/org/magnoliaseam/route/HttpFactory.java
@@ -33,6 +33,9 @@
     /** The maximum size of a request header in bytes. */
     private static final int MAX_HEADER_BYTES = 16 * 1024;
 
+    /** The maximum size of the fields that the router adds to a request header, in bytes. */
+    private static final int ADDED_HEADER_BYTES = 2 * 1024;
+
     /** The maximum size of the head of a response, and of its trailers, in bytes. */
     private static final int MAX_RESPONSE_HEADER_BYTES = 32 * 1024;
 
@@ -176,6 +179,7 @@
         client.setIdleTimeout(IDLE_TIMEOUT_MILLIS);
         client.setMaxConnectionsPerDestination(MAX_CONNECTIONS);
         client.setMaxRequestsQueuedPerDestination(MAX_QUEUED);
+        client.setMaxRequestHeadersSize(MAX_HEADER_BYTES + ADDED_HEADER_BYTES);
         client.setMaxResponseHeadersSize(MAX_RESPONSE_HEADER_BYTES);
         client.setFollowRedirects(false);
         client.setUserAgentField(null);
