Use each buffer of the HTTP client once

Cause: two connections of the client shared a buffer after one of them was aborted. Shown by a reproduction that has the client alone, once with pooled buffers and once with buffers that are used once; nothing else differs. Which line of Jetty 12.1.13 releases a buffer too early was not found out.

Change: ByteBufferPool.NonPooling for both paths, with buffers on the heap.

--- a/router/src/main/java/org/magnoliaseam/route/HttpFactory.java
+++ b/router/src/main/java/org/magnoliaseam/route/HttpFactory.java
@@ -4,6 +4,7 @@
 import java.time.Duration;
 import java.util.concurrent.TimeUnit;
 import org.eclipse.jetty.client.HttpClient;
+import org.eclipse.jetty.io.ByteBufferPool;
 import org.eclipse.jetty.server.Handler;
 import org.eclipse.jetty.server.HttpConfiguration;
 import org.eclipse.jetty.server.HttpConnectionFactory;
@@ -181,6 +182,11 @@
         client.setMaxRequestsQueuedPerDestination(MAX_QUEUED);
         client.setMaxRequestHeadersSize(MAX_HEADER_BYTES + ADDED_HEADER_BYTES);
         client.setMaxResponseHeadersSize(MAX_RESPONSE_HEADER_BYTES);
+        // Jetty 12.1.13 releases a buffer of an aborted response while it is still read. A buffer
+        // that is never used again cannot carry the bytes of another connection.
+        client.setByteBufferPool(new ByteBufferPool.NonPooling());
+        client.setUseInputDirectByteBuffers(false);
+        client.setUseOutputDirectByteBuffers(false);
         client.setFollowRedirects(false);
         client.setUserAgentField(null);
         return client;
