--- a/router/src/main/java/org/magnoliaseam/route/HttpFactory.java
+++ b/router/src/main/java/org/magnoliaseam/route/HttpFactory.java
@@ -182,8 +182,8 @@
         client.setMaxRequestsQueuedPerDestination(MAX_QUEUED);
         client.setMaxRequestHeadersSize(MAX_HEADER_BYTES + ADDED_HEADER_BYTES);
         client.setMaxResponseHeadersSize(MAX_RESPONSE_HEADER_BYTES);
-        // Jetty 12.1.13 releases a buffer of an aborted response while it is still read. A buffer
-        // that is never used again cannot carry the bytes of another connection.
+        // With pooled buffers of Jetty 12.1.13, aborted responses let bytes of one connection reach
+        // another. A buffer that is never used again cannot carry them.
         client.setByteBufferPool(new ByteBufferPool.NonPooling());
         client.setUseInputDirectByteBuffers(false);
         client.setUseOutputDirectByteBuffers(false);
