Log how long a server was silent, why an attempt is not repeated and how long a caller waits

The step silent now states the time since the last sign of the attempt, the time since any sign of the server and the attempts in progress there: a server that has stopped altogether and a request that alone is stuck look different. The step not_repeated states the attempts used. caller_wait_ms shows whether the caller kept events from being written, so that a slow caller is not taken for a silent server. No decision changes; CallPlacement takes over what it decides about the attempt before it is sent.

--- a/router/src/main/java/org/magnoliaseam/gateway/AttemptHistory.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/AttemptHistory.java
@@ -76,6 +76,16 @@
                 : kind;
     }
 
+    /**
+     * Describes the attempts for the log.
+     *
+     * @param route the route
+     * @return the attempts that were sent, those that may have run, and how many may
+     */
+    String describe(Route route) {
+        return "sends=" + mSends + " runs=" + mPossibleRuns + " of=" + route.maxTries();
+    }
+
     /**
      * Tells whether the route allows another attempt.
      *
--- a/router/src/main/java/org/magnoliaseam/gateway/AttemptProgress.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/AttemptProgress.java
@@ -130,6 +130,33 @@
                         ? PAUSE_TIMEOUT_FACTOR * mRoute.pauseTargetMillis()
                         : ANSWER_TIMEOUT_FACTOR * mRoute.targetMillis();
         double timeoutMillis = Math.max(MIN_TIMEOUT_MILLIS, limit);
-        return (nowNanos - mLastNanos) / NANOS_PER_MILLI > timeoutMillis;
+        return pauseNanos(nowNanos) / NANOS_PER_MILLI > timeoutMillis;
+    }
+
+    /**
+     * Describes a silence for the log.
+     *
+     * @param server the backend server
+     * @param nowNanos the local monotonic time
+     * @return the time since the start or the last event, the time since any sign of the backend
+     *     server, and the attempts in progress there
+     */
+    String describe(BackendServerState server, long nowNanos) {
+        return "silent_ms="
+                + Math.round(pauseNanos(nowNanos) / NANOS_PER_MILLI)
+                + " heard_ms="
+                + Math.round((nowNanos - server.heardNanos()) / NANOS_PER_MILLI)
+                + " running="
+                + server.running();
+    }
+
+    /**
+     * Returns the time since the start or the last event.
+     *
+     * @param nowNanos the local monotonic time
+     * @return the time in nanoseconds
+     */
+    long pauseNanos(long nowNanos) {
+        return nowNanos - mLastNanos;
     }
 }
--- a/router/src/main/java/org/magnoliaseam/gateway/BackendServerState.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/BackendServerState.java
@@ -65,6 +65,9 @@
     /** The local monotonic time of the reported load. */
     private long mLoadNanos;
 
+    /** The local monotonic time of the last sign of the backend server in an answer. */
+    private volatile long mHeardNanos;
+
     /** What the home of the engine answered. */
     private final EngineBacklog mBacklog;
 
@@ -84,6 +87,7 @@
         mTimes = new ServerTimes(times, mHash, nowNanos);
         mLoadNanos = nowNanos - LOAD_VALID_NANOS;
         mFaultLoggedNanos = nowNanos - FAULT_LOG_NANOS;
+        mHeardNanos = nowNanos;
         mBacklog = new EngineBacklog(nowNanos);
         mColdStart = new ColdStart(entry, nowNanos);
     }
@@ -309,6 +313,24 @@
         return mPromptCache.uncachedTokens(prompt);
     }
 
+    /**
+     * Records that a part of an answer was received; needs no lock.
+     *
+     * @param nowNanos the local monotonic time
+     */
+    void heard(long nowNanos) {
+        mHeardNanos = nowNanos;
+    }
+
+    /**
+     * Returns the time of the last sign of the backend server in an answer.
+     *
+     * @return the local monotonic time; that of its publication if there was none
+     */
+    long heardNanos() {
+        return mHeardNanos;
+    }
+
     /**
      * Returns the attempts of this entry VM in progress there.
      *
--- a/router/src/main/java/org/magnoliaseam/gateway/CallPlacement.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/CallPlacement.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.magnoliaseam.backend.BackendFailure;
 import org.magnoliaseam.permit.PermitMessage;
 
@@ -150,7 +151,7 @@
                         mCall.request().deadlineNanos(),
                         mAnswer.lastEventId(),
                         start.cacheSource());
-        mAttempt = new GatewayAttempt(mCall, start, mParts, order);
+        mAttempt = new GatewayAttempt(mCall, this, start, mParts, order);
         mActions.add(mAttempt::start);
         return true;
     }
@@ -177,7 +178,7 @@
      */
     boolean foundCrashing() {
         return mCheckedChanges != mParts.pool().crashes().changes()
-                && (mAttempt == null || !mAttempt.hasSurvived())
+                && (mAttempt == null || !mAttempt.progress().survived())
                 && isRefused();
     }
 
@@ -207,17 +208,49 @@
      * @return true if the attempt should be given up
      */
     boolean mayReplaceSilent(long nowNanos) {
-        return mAttempt.silent(nowNanos)
+        return mAttempt.progress().silent(nowNanos)
                 && mCall.request().route().idempotent()
                 && mHistory.allowsAnother(mCall.request().route());
     }
 
+    /**
+     * Tells whether an attempt may still be sent; called right before its first byte is sent.
+     *
+     * @param sent the attempt
+     * @return true if it is the current attempt and its backend server still accepts it
+     */
+    boolean sending(GatewayAttempt sent) {
+        synchronized (mActions) {
+            return sent == mAttempt && mParts.pool().confirm(sent.order());
+        }
+    }
+
+    /**
+     * Counts an attempt that is about to be sent.
+     *
+     * @param attempt the attempt
+     * @return true if it may be sent; false if it is no longer the current attempt
+     */
+    boolean permitted(GatewayAttempt attempt) {
+        AtomicBoolean current = new AtomicBoolean();
+        mActions.decide(
+                () -> {
+                    current.set(attempt == mAttempt);
+                    if (current.get()) {
+                        sent();
+                    }
+                });
+        return current.get();
+    }
+
     /** Counts the attempt in progress, which is about to be sent. */
-    void sent() {
+    private void sent() {
         mHistory.sent();
         mWait.end();
         mParts.waiting().started(mCall);
         withdrawClaims();
+        String server = mAttempt.server().id().value();
+        mRecord.add(StepKind.SENT, server, mAttempt.reason(), mParts.clock().nanos());
     }
 
     /** Ends the claims at other engines, because the request no longer waits for them. */
--- a/router/src/main/java/org/magnoliaseam/gateway/GatewayAttempt.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/GatewayAttempt.java
@@ -19,6 +19,9 @@
     /** The request. */
     private final GatewayCall mCall;
 
+    /** The attempts of the request. */
+    private final CallPlacement mPlacement;
+
     /** The selected backend server and the state at the selection. */
     private final ServerChoice.Start mStart;
 
@@ -59,12 +62,19 @@
      * Creates an attempt.
      *
      * @param call the request
+     * @param placement the attempts of the request
      * @param start the selected backend server and the state at the selection
      * @param parts the components that the request uses
      * @param order the request as it is sent to the backend server
      */
-    GatewayAttempt(GatewayCall call, ServerChoice.Start start, GatewayParts parts, TryOrder order) {
+    GatewayAttempt(
+            GatewayCall call,
+            CallPlacement placement,
+            ServerChoice.Start start,
+            GatewayParts parts,
+            TryOrder order) {
         mCall = call;
+        mPlacement = placement;
         mStart = start;
         mParts = parts;
         mOrder = order;
@@ -118,7 +128,7 @@
 
     /** Sends the request unless the call has ended meanwhile. */
     private void proceed() {
-        if (mCall.permitted(this)) {
+        if (mPlacement.permitted(this)) {
             mFeedback.sent();
             send();
         } else {
@@ -196,18 +206,17 @@
     }
 
     /**
-     * Tells whether the backend server has been silent for too long.
+     * Returns the arrival of the answer.
      *
-     * @param nowNanos the local monotonic time
-     * @return true if another backend server should get the request
+     * @return the progress of the attempt
      */
-    boolean silent(long nowNanos) {
-        return mProgress.silent(nowNanos);
+    AttemptProgress progress() {
+        return mProgress;
     }
 
     @Override
     public boolean sending() {
-        return mCall.sending(this);
+        return mPlacement.sending(this);
     }
 
     @Override
@@ -319,7 +328,7 @@
             mFeedback.lost();
         }
         boolean cancelledHere = mGivenUp && failure == BackendFailure.INCOMPLETE;
-        if (mPushedBack || cancelledHere && !silent(mParts.clock().nanos())) {
+        if (mPushedBack || cancelledHere && !mProgress.silent(mParts.clock().nanos())) {
             mFeedback.ended();
         } else {
             mFeedback.failed(failure);
@@ -345,15 +354,6 @@
         }
     }
 
-    /**
-     * Tells whether the request has not crashed its backend server.
-     *
-     * @return true once enough of the answer has arrived
-     */
-    boolean hasSurvived() {
-        return mProgress.survived();
-    }
-
     /** Records the arrival of events. */
     private void recordProgress() {
         mFeedback.progressed();
--- a/router/src/main/java/org/magnoliaseam/gateway/GatewayCall.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/GatewayCall.java
@@ -2,7 +2,6 @@
 
 import java.nio.ByteBuffer;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Consumer;
 import org.magnoliaseam.backend.BackendFailure;
@@ -79,6 +78,15 @@
         mActions.decide(() -> mRecord.paused(nanos));
     }
 
+    /**
+     * Records the time for which the caller kept an event from being written.
+     *
+     * @param nanos the time in nanoseconds
+     */
+    private void callerRead(long nanos) {
+        mActions.decide(() -> mRecord.callerWaited(nanos));
+    }
+
     /** Starts the first attempt, unless requests of the same or a higher priority wait already. */
     void begin() {
         mActions.decide(
@@ -123,7 +131,8 @@
                 fail(mPlacement.waiting().kind());
             }
         } else if (mPlacement.mayReplaceSilent(now)) {
-            record(StepKind.SILENT, mPlacement.attempt(), "");
+            GatewayAttempt silent = mPlacement.attempt();
+            record(StepKind.SILENT, silent, silent.progress().describe(silent.server(), now));
             giveUpRunning();
         }
     }
@@ -173,18 +182,6 @@
         }
     }
 
-    /**
-     * Tells whether an attempt may still be sent; called right before its first byte is sent.
-     *
-     * @param sent the attempt
-     * @return true if it is the current attempt and its backend server still accepts it
-     */
-    boolean sending(GatewayAttempt sent) {
-        synchronized (mActions) {
-            return !isNotCurrent(sent) && mParts.pool().confirm(sent.order());
-        }
-    }
-
     /**
      * Handles a complete answer that is not a stream.
      *
@@ -241,7 +238,9 @@
                         record(StepKind.FIRST_EVENT, from, "");
                         mAnswer.begin(head);
                     }
+                    long begin = mParts.clock().nanos();
                     written.set(mAnswer.events(events, lastId, this::callerGone));
+                    written.get().thenRun(() -> callerRead(mParts.clock().nanos() - begin));
                 });
         return written.get();
     }
@@ -299,6 +298,7 @@
         } else if (mPlacement.foundCrashing()) {
             fail(ErrorKind.CRASHING_REQUEST);
         } else if (!mPlacement.mayRepeat(failure)) {
+            record(StepKind.NOT_REPEATED, failed, mPlacement.history().describe(mRequest.route()));
             boolean ran = mPlacement.history().mayHaveBeenExecuted();
             fail(ran ? failure.errorKind() : ErrorKind.BACKEND_REFUSED);
         } else {
@@ -318,25 +318,6 @@
         }
     }
 
-    /**
-     * Counts an attempt that is about to be sent.
-     *
-     * @param attempt the attempt
-     * @return true if it may be sent; false if it is no longer the current attempt
-     */
-    boolean permitted(GatewayAttempt attempt) {
-        AtomicBoolean current = new AtomicBoolean();
-        mActions.decide(
-                () -> {
-                    current.set(!isNotCurrent(attempt));
-                    if (current.get()) {
-                        mPlacement.sent();
-                        record(StepKind.SENT, attempt, attempt.reason());
-                    }
-                });
-        return current.get();
-    }
-
     /**
      * Selects another backend server after the home of an engine reported that too many prompts
      * wait there.
--- a/router/src/main/java/org/magnoliaseam/gateway/RequestLog.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/RequestLog.java
@@ -56,6 +56,7 @@
         line.put("target_ms", request.route().targetMillis());
         line.put("pause_target_ms", request.route().pauseTargetMillis());
         line.put("pause_ms", Math.round(record.longestPauseNanos() / NANOS_PER_MILLI));
+        line.put("caller_wait_ms", Math.round(record.longestCallerWaitNanos() / NANOS_PER_MILLI));
         line.put("deadline_ms", millis(request.deadlineNanos(), request));
         line.put("outcome", outcome);
         line.put("ms", millis(nowNanos, request));
--- a/router/src/main/java/org/magnoliaseam/gateway/RequestRecord.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/RequestRecord.java
@@ -25,6 +25,9 @@
     /** The longest time between two events in nanoseconds. */
     private long mLongestPauseNanos;
 
+    /** The longest time for which the caller kept an event from being written, in nanoseconds. */
+    private long mLongestCallerWaitNanos;
+
     /**
      * Creates a record without steps.
      *
@@ -64,6 +67,24 @@
         return mLongestPauseNanos;
     }
 
+    /**
+     * Records the time for which the caller kept an event from being written.
+     *
+     * @param nanos the time in nanoseconds
+     */
+    void callerWaited(long nanos) {
+        mLongestCallerWaitNanos = Math.max(mLongestCallerWaitNanos, nanos);
+    }
+
+    /**
+     * Returns the longest time for which the caller kept an event from being written.
+     *
+     * @return the time in nanoseconds; 0 if there was no event
+     */
+    long longestCallerWaitNanos() {
+        return mLongestCallerWaitNanos;
+    }
+
     /**
      * Returns the request.
      *
--- a/router/src/main/java/org/magnoliaseam/gateway/ServerFeedback.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/ServerFeedback.java
@@ -212,6 +212,7 @@
 
     /** Records that the backend server began to answer. */
     void answered() {
+        server().heard(mClock.nanos());
         synchronized (mPool) {
             leavePushback(true);
             server().stated().full().accepted();
@@ -233,6 +234,7 @@
 
     /** Records that the backend server continues its answer. */
     void progressed() {
+        server().heard(mClock.nanos());
         mPool.crashes().answers(incarnation(), mSentNanos);
     }
 
--- a/router/src/main/java/org/magnoliaseam/gateway/StepKind.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/StepKind.java
@@ -14,6 +14,8 @@
     ANSWERED("A whole answer arrived."),
     /** An attempt was given up because its backend server was silent for too long. */
     SILENT("The backend server was silent for too long, so the attempt was given up."),
+    /** A failed attempt was not followed by another one. */
+    NOT_REPEATED("The failed attempt was not followed by another one."),
     /** The retry budget did not allow another attempt. */
     BUDGET_USED_UP("The retry budget allowed no further attempt."),
     /** The caller closed its connection. */
