Give up a silent attempt only when another one takes its place

Cause: an attempt was given up first and its successor looked for afterwards. Attempts left were counted without the running one, and budget, room, time and the state of the other servers were not asked at all, so the last attempt was given up as well, and a stream that had begun could end in the wait queue.

Change: SilentAttempt selects a server that answers, asks its home for room and takes the retry budget; only then the silent attempt is cancelled, and only if it is still silent. Otherwise it goes on to the deadline and the step kept says why. ServerSilence tells a server that has stopped from one where a single attempt is stuck: a stopped one is avoided until it is heard from, and its silence counts as one failure, not as one for each request.

SilentServerTest: 8 of 10 cases red before, green now. Gateway and platform tests green.

--- a/router/src/main/java/org/magnoliaseam/gateway/AttemptHistory.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/AttemptHistory.java
@@ -93,6 +93,28 @@
      * @return true while attempts are left
      */
     boolean allowsAnother(Route route) {
-        return mPossibleRuns < route.maxTries() && mSends < route.maxTries() + EXTRA_SENDS;
+        return allowsAnother(route, mPossibleRuns);
+    }
+
+    /**
+     * Tells whether the route allows another attempt beside the one in progress, which may have
+     * run.
+     *
+     * @param route the route
+     * @return true while attempts are left
+     */
+    boolean allowsSuccessor(Route route) {
+        return allowsAnother(route, mPossibleRuns + 1);
+    }
+
+    /**
+     * Tells whether the route allows another attempt.
+     *
+     * @param route the route
+     * @param runs the attempts that may have run
+     * @return true while attempts are left
+     */
+    private boolean allowsAnother(Route route, int runs) {
+        return runs < route.maxTries() && mSends < route.maxTries() + EXTRA_SENDS;
     }
 }
--- a/router/src/main/java/org/magnoliaseam/gateway/AttemptProgress.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/AttemptProgress.java
@@ -31,12 +31,18 @@
     /** The route of the request. */
     private final Route mRoute;
 
+    /** Records a silence of the backend server. */
+    private final ServerFeedback mFeedback;
+
     /** The local monotonic time of the start or the last event. */
     private volatile long mLastNanos;
 
     /** The local monotonic time of the first event. */
     private volatile long mFirstNanos;
 
+    /** Whether the present silence has been reported. */
+    private boolean mSilenceReported;
+
     /** Whether the first event has been received, so that the prompt has been processed. */
     private volatile boolean mBegun;
 
@@ -47,10 +53,12 @@
      * Creates the progress of an attempt that starts.
      *
      * @param route the route of the request
+     * @param feedback records a silence of the backend server
      * @param nowNanos the local monotonic time
      */
-    AttemptProgress(Route route, long nowNanos) {
+    AttemptProgress(Route route, ServerFeedback feedback, long nowNanos) {
         mRoute = route;
+        mFeedback = feedback;
         mLastNanos = nowNanos;
     }
 
@@ -133,6 +141,22 @@
         return pauseNanos(nowNanos) / NANOS_PER_MILLI > timeoutMillis;
     }
 
+    /**
+     * Tells whether a silence is new, and records it if it is; guarded by the lock of the request.
+     *
+     * @param nowNanos the local monotonic time
+     * @return true the first time since the last event if the backend server is silent
+     */
+    boolean beginsSilence(long nowNanos) {
+        boolean silent = silent(nowNanos);
+        boolean begins = silent && !mSilenceReported;
+        mSilenceReported = silent;
+        if (begins) {
+            mFeedback.silent(pauseNanos(nowNanos));
+        }
+        return begins;
+    }
+
     /**
      * Describes a silence for the log.
      *
@@ -145,7 +169,7 @@
         return "silent_ms="
                 + Math.round(pauseNanos(nowNanos) / NANOS_PER_MILLI)
                 + " heard_ms="
-                + Math.round((nowNanos - server.heardNanos()) / NANOS_PER_MILLI)
+                + Math.round((nowNanos - server.silence().heardNanos()) / NANOS_PER_MILLI)
                 + " running="
                 + server.running();
     }
--- a/router/src/main/java/org/magnoliaseam/gateway/BackendServerState.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/BackendServerState.java
@@ -65,8 +65,8 @@
     /** The local monotonic time of the reported load. */
     private long mLoadNanos;
 
-    /** The local monotonic time of the last sign of the backend server in an answer. */
-    private volatile long mHeardNanos;
+    /** Whether it has stopped sending. */
+    private final ServerSilence mSilence;
 
     /** What the home of the engine answered. */
     private final EngineBacklog mBacklog;
@@ -87,7 +87,7 @@
         mTimes = new ServerTimes(times, mHash, nowNanos);
         mLoadNanos = nowNanos - LOAD_VALID_NANOS;
         mFaultLoggedNanos = nowNanos - FAULT_LOG_NANOS;
-        mHeardNanos = nowNanos;
+        mSilence = new ServerSilence(nowNanos);
         mBacklog = new EngineBacklog(nowNanos);
         mColdStart = new ColdStart(entry, nowNanos);
     }
@@ -314,21 +314,12 @@
     }
 
     /**
-     * Records that a part of an answer was received; needs no lock.
+     * Returns whether it has stopped sending.
      *
-     * @param nowNanos the local monotonic time
-     */
-    void heard(long nowNanos) {
-        mHeardNanos = nowNanos;
-    }
-
-    /**
-     * Returns the time of the last sign of the backend server in an answer.
-     *
-     * @return the local monotonic time; that of its publication if there was none
+     * @return its silence
      */
-    long heardNanos() {
-        return mHeardNanos;
+    ServerSilence silence() {
+        return mSilence;
     }
 
     /**
--- a/router/src/main/java/org/magnoliaseam/gateway/CallPlacement.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/CallPlacement.java
@@ -39,6 +39,9 @@
     /** The attempt in progress; null if there is none. */
     private GatewayAttempt mAttempt;
 
+    /** Replaces the attempt in progress if its backend server is silent. */
+    private final SilentAttempt mSilent;
+
     /** The latest claims at engines that were too busy for the request. */
     private final Deque<PermitMessage.Done> mClaims = new ArrayDeque<>();
 
@@ -69,6 +72,7 @@
         mAnswer = answer;
         mRecord = record;
         mWait = new CallWait(call.request(), parts, record);
+        mSilent = new SilentAttempt(this, call.request(), parts, actions, answer, record);
     }
 
     /**
@@ -80,6 +84,15 @@
         return mHistory;
     }
 
+    /**
+     * Returns what replaces the attempt in progress if its backend server is silent.
+     *
+     * @return the replacement of silent attempts
+     */
+    SilentAttempt silent() {
+        return mSilent;
+    }
+
     /**
      * Returns the wait for a backend server.
      *
@@ -101,11 +114,12 @@
     /** Forgets the attempt in progress, which has ended. */
     void clear() {
         mAttempt = null;
+        mSilent.forget();
     }
 
     /** Ends the placement, because the request has ended. */
     void end() {
-        mAttempt = null;
+        clear();
         mWait.end();
         mParts.waiting().remove(mCall);
         withdrawClaims();
@@ -143,7 +157,18 @@
         if (choice instanceof ServerChoice.Wait wait) {
             return mWait.await(mCall, wait);
         }
-        ServerChoice.Start start = (ServerChoice.Start) choice;
+        mAttempt = attemptAt((ServerChoice.Start) choice);
+        mActions.add(mAttempt::start);
+        return true;
+    }
+
+    /**
+     * Creates an attempt.
+     *
+     * @param start the selected backend server
+     * @return the attempt, not yet started
+     */
+    GatewayAttempt attemptAt(ServerChoice.Start start) {
         TryOrder order =
                 new TryOrder(
                         mCall.request(),
@@ -151,9 +176,7 @@
                         mCall.request().deadlineNanos(),
                         mAnswer.lastEventId(),
                         start.cacheSource());
-        mAttempt = new GatewayAttempt(mCall, this, start, mParts, order);
-        mActions.add(mAttempt::start);
-        return true;
+        return new GatewayAttempt(mCall, this, start, mParts, order);
     }
 
     /**
@@ -200,19 +223,6 @@
         return mWait.attempted(mHistory.excluded().isEmpty());
     }
 
-    /**
-     * Tells whether the backend server of the attempt in progress has been silent for too long and
-     * another one may get the request.
-     *
-     * @param nowNanos the local monotonic time
-     * @return true if the attempt should be given up
-     */
-    boolean mayReplaceSilent(long nowNanos) {
-        return mAttempt.progress().silent(nowNanos)
-                && mCall.request().route().idempotent()
-                && mHistory.allowsAnother(mCall.request().route());
-    }
-
     /**
      * Tells whether an attempt may still be sent; called right before its first byte is sent.
      *
@@ -235,6 +245,9 @@
         AtomicBoolean current = new AtomicBoolean();
         mActions.decide(
                 () -> {
+                    if (mSilent.replacedBy(attempt)) {
+                        mAttempt = attempt;
+                    }
                     current.set(attempt == mAttempt);
                     if (current.get()) {
                         sent();
@@ -249,8 +262,7 @@
         mWait.end();
         mParts.waiting().started(mCall);
         withdrawClaims();
-        String server = mAttempt.server().id().value();
-        mRecord.add(StepKind.SENT, server, mAttempt.reason(), mParts.clock().nanos());
+        mRecord.add(StepKind.SENT, mAttempt, mAttempt.reason(), mParts.clock().nanos());
     }
 
     /** Ends the claims at other engines, because the request no longer waits for them. */
--- a/router/src/main/java/org/magnoliaseam/gateway/CallWait.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/CallWait.java
@@ -303,7 +303,7 @@
         }
         double remaining = (mRequest.deadlineNanos() - mParts.clock().nanos()) / NANOS_PER_MILLI;
         double forecast = mParts.waiting().forecastMillis(mRequest);
-        double notBefore = millisUntil(mParts.pool().notBeforeNanos(mRequest));
+        double notBefore = millisUntil(mParts.pool().noRoom(mRequest).notBeforeNanos());
         return mParts.waiting()
                 .returnMillis(
                         mRequest,
--- a/router/src/main/java/org/magnoliaseam/gateway/GatewayAttempt.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/GatewayAttempt.java
@@ -81,7 +81,7 @@
         mAnswer = new AttemptAnswer(order, parts.answers());
         mFeedback = parts.pool().feedback(start, order.request());
         mPermit = parts.permits().nextId();
-        mProgress = new AttemptProgress(order.request().route(), parts.clock().nanos());
+        mProgress = new AttemptProgress(order.request().route(), mFeedback, parts.clock().nanos());
     }
 
     /** Asks for the permit of an engine and sends the request. */
@@ -328,7 +328,7 @@
             mFeedback.lost();
         }
         boolean cancelledHere = mGivenUp && failure == BackendFailure.INCOMPLETE;
-        if (mPushedBack || cancelledHere && !mProgress.silent(mParts.clock().nanos())) {
+        if (mPushedBack || cancelledHere) {
             mFeedback.ended();
         } else {
             mFeedback.failed(failure);
--- a/router/src/main/java/org/magnoliaseam/gateway/GatewayCall.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/GatewayCall.java
@@ -110,7 +110,7 @@
     }
 
     /**
-     * Ends the request at its deadline, gives up a silent attempt, or refuses a waiting request.
+     * Ends the request at its deadline, replaces a silent attempt, or refuses a waiting request.
      */
     void tick() {
         mActions.decide(this::onTick);
@@ -130,10 +130,8 @@
             if (mPlacement.waiting().expired() || mPlacement.waiting().isHopelessLast(this)) {
                 fail(mPlacement.waiting().kind());
             }
-        } else if (mPlacement.mayReplaceSilent(now)) {
-            GatewayAttempt silent = mPlacement.attempt();
-            record(StepKind.SILENT, silent, silent.progress().describe(silent.server(), now));
-            giveUpRunning();
+        } else {
+            mPlacement.silent().check(now);
         }
     }
 
@@ -172,7 +170,7 @@
      * @param detail the inputs of the decision or the cause of the failure
      */
     private void record(StepKind kind, GatewayAttempt attempt, String detail) {
-        mRecord.add(kind, attempt.server().id().value(), detail, mParts.clock().nanos());
+        mRecord.add(kind, attempt, detail, mParts.clock().nanos());
     }
 
     /** Gives up the attempt in progress if there is one. */
@@ -327,7 +325,7 @@
     void busy(GatewayAttempt attempt) {
         mActions.decide(
                 () -> {
-                    if (!isNotCurrent(attempt)) {
+                    if (!mPlacement.silent().forgetBusy(attempt) && !isNotCurrent(attempt)) {
                         refuseUnless(mPlacement.busy());
                     }
                 });
--- a/router/src/main/java/org/magnoliaseam/gateway/RequestRecord.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/RequestRecord.java
@@ -49,6 +49,18 @@
         mSteps.add(new Step(kind, server, detail, nanos));
     }
 
+    /**
+     * Adds a step of an attempt.
+     *
+     * @param kind what happened
+     * @param attempt the attempt
+     * @param detail the inputs of the decision or the cause of the failure
+     * @param nanos the local monotonic time
+     */
+    void add(StepKind kind, GatewayAttempt attempt, String detail, long nanos) {
+        add(kind, attempt.server().id().value(), detail, nanos);
+    }
+
     /**
      * Records the time between two events of a stream.
      *
--- a/router/src/main/java/org/magnoliaseam/gateway/ServerCandidates.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/ServerCandidates.java
@@ -41,8 +41,8 @@
     }
 
     /**
-     * Selects the backend servers that may run a request now. Ejected ones are used only if there
-     * is no other that will take the request before its deadline.
+     * Selects the backend servers that may run a request now. Ejected and silent ones are used only
+     * if there is no other that will take the request before its deadline.
      *
      * @param request the request
      * @param present the backend servers of the service that are in service
@@ -64,7 +64,7 @@
                     || !state.coldStart().admits(request.service(), mShares, now)) {
                 continue;
             }
-            boolean sound = !state.failures().ejected(state.running(), now);
+            boolean sound = isSound(state, now);
             long until = state.pushback().untilNanos(now);
             anyHealthy |= sound && (until == now || until - request.deadlineNanos() < 0);
             boolean hasSlot =
@@ -76,6 +76,37 @@
         return anyHealthy ? healthy : ejected;
     }
 
+    /**
+     * Tells whether a backend server is neither ejected nor silent.
+     *
+     * @param state the backend server
+     * @param now the local monotonic time
+     * @return true if it may get requests
+     */
+    private static boolean isSound(BackendServerState state, long now) {
+        return !state.failures().ejected(state.running(), now)
+                && !state.silence().isSilent(state.running(), now);
+    }
+
+    /**
+     * Returns the backend servers that must not take over a request that already runs.
+     *
+     * @param present the backend servers of the service that are in service
+     * @param excluded the backend servers that get no further attempt of the request
+     * @param now the local monotonic time
+     * @return those that are excluded, ejected or silent
+     */
+    static Set<BackendServerId> unfitAsSuccessors(
+            List<BackendServerState> present, Set<BackendServerId> excluded, long now) {
+        Set<BackendServerId> unfit = new HashSet<>(excluded);
+        for (BackendServerState state : present) {
+            if (!isSound(state, now)) {
+                unfit.add(state.id());
+            }
+        }
+        return unfit;
+    }
+
     /**
      * Tells whether a backend server has a free slot. Where the home of an engine counts the slots,
      * the sums of digests do not close the engine, since they are older than what the home knows.
--- a/router/src/main/java/org/magnoliaseam/gateway/ServerFeedback.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/ServerFeedback.java
@@ -212,7 +212,7 @@
 
     /** Records that the backend server began to answer. */
     void answered() {
-        server().heard(mClock.nanos());
+        server().silence().heard(mClock.nanos());
         synchronized (mPool) {
             leavePushback(true);
             server().stated().full().accepted();
@@ -234,10 +234,24 @@
 
     /** Records that the backend server continues its answer. */
     void progressed() {
-        server().heard(mClock.nanos());
+        server().silence().heard(mClock.nanos());
         mPool.crashes().answers(incarnation(), mSentNanos);
     }
 
+    /**
+     * Records that the attempt has been silent for too long.
+     *
+     * @param pauseNanos the time since its last sign, in nanoseconds
+     */
+    void silent(long pauseNanos) {
+        synchronized (mPool) {
+            long now = mClock.nanos();
+            if (server().silence().observed(pauseNanos, server().running(), now)) {
+                server().failures().failed(false, now);
+            }
+        }
+    }
+
     /** Records that the request has not crashed the backend server. */
     void survived() {
         mPool.crashes().answered(mRequest);
--- a/router/src/main/java/org/magnoliaseam/gateway/ServerPool.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/ServerPool.java
@@ -212,6 +212,20 @@
         return start(request, chosen, false, restriction.reason(), reason, now);
     }
 
+    /**
+     * Selects a backend server that takes over a request whose attempt in progress is silent.
+     *
+     * @param request the request
+     * @param excluded the backend servers that get no further attempt of the request
+     * @return the selected backend server, or the reason why none can take it now
+     */
+    synchronized ServerChoice chooseSuccessor(
+            GatewayRequest request, Set<BackendServerId> excluded) {
+        List<BackendServerState> present = mServers.inService(request.service().name());
+        long now = mClock.nanos();
+        return choose(request, ServerCandidates.unfitAsSuccessors(present, excluded, now), false);
+    }
+
     /**
      * Selects a backend server for a request that may crash it.
      *
@@ -325,16 +339,6 @@
                 mServers.inService(request.service().name()), Set.of(), mClock.nanos());
     }
 
-    /**
-     * Returns the time before which no backend server takes a request.
-     *
-     * @param request the request
-     * @return the local monotonic time; now if one of them may take it at any moment
-     */
-    synchronized long notBeforeNanos(GatewayRequest request) {
-        return noRoom(request).notBeforeNanos();
-    }
-
     /**
      * Returns the entry VMs that share limits.
      *
--- /dev/null
+++ b/router/src/main/java/org/magnoliaseam/gateway/ServerSilence.java
@@ -0,0 +1,89 @@
+package org.magnoliaseam.gateway;
+
+/**
+ * Tells a backend server that has stopped sending anything from one that answers others while a
+ * single attempt is stuck there. Guarded by the lock of the server pool, except for the time of the
+ * last sign.
+ */
+final class ServerSilence {
+
+    /**
+     * The part of the pause of an attempt for which nothing may have been received from the backend
+     * server if the whole server counts as silent.
+     */
+    private static final double WHOLE_SERVER_SHARE = 0.5;
+
+    /**
+     * The time after which a silent backend server gets a request again if none is in progress
+     * there that would show that it goes on, in nanoseconds.
+     */
+    private static final long PROBE_NANOS = 400_000_000L;
+
+    /** The local monotonic time of the last part of an answer. */
+    private volatile long mHeardNanos;
+
+    /** Whether the backend server was silent when last observed. */
+    private boolean mSilent;
+
+    /** The local monotonic time of the last observation of a silent attempt. */
+    private long mObservedNanos;
+
+    /**
+     * Creates the state of a backend server that is not silent.
+     *
+     * @param nowNanos the local monotonic time
+     */
+    ServerSilence(long nowNanos) {
+        mHeardNanos = nowNanos;
+    }
+
+    /**
+     * Records that a part of an answer was received; needs no lock.
+     *
+     * @param nowNanos the local monotonic time
+     */
+    void heard(long nowNanos) {
+        mHeardNanos = nowNanos;
+    }
+
+    /**
+     * Returns the time of the last part of an answer.
+     *
+     * @return the local monotonic time
+     */
+    long heardNanos() {
+        return mHeardNanos;
+    }
+
+    /**
+     * Records that an attempt has been silent for too long.
+     *
+     * @param pauseNanos the time since its last sign, in nanoseconds
+     * @param running the attempts in progress at the backend server
+     * @param nowNanos the local monotonic time
+     * @return true if this counts as a failure: a stuck attempt, or the first one of a silence
+     */
+    boolean observed(long pauseNanos, int running, long nowNanos) {
+        if (nowNanos - mHeardNanos < WHOLE_SERVER_SHARE * pauseNanos) {
+            return true;
+        }
+        boolean known = isSilent(running, nowNanos);
+        mSilent = true;
+        mObservedNanos = nowNanos;
+        return !known;
+    }
+
+    /**
+     * Tells whether the backend server has stopped sending. It counts as such until it is heard
+     * from, or for a short time if no attempt is in progress there.
+     *
+     * @param running the attempts in progress at the backend server
+     * @param nowNanos the local monotonic time
+     * @return true while others should be preferred
+     */
+    boolean isSilent(int running, long nowNanos) {
+        boolean lapsed = running == 0 && nowNanos - mObservedNanos >= PROBE_NANOS;
+        mSilent &= mHeardNanos - mObservedNanos < 0 && !lapsed;
+        return mSilent;
+    }
+}
--- a/router/src/main/java/org/magnoliaseam/gateway/StepKind.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/StepKind.java
@@ -12,8 +12,12 @@
     FIRST_EVENT("The first event of the stream arrived."),
     /** A complete answer that is not a stream was received. */
     ANSWERED("A whole answer arrived."),
-    /** An attempt was given up because its backend server was silent for too long. */
-    SILENT("The backend server was silent for too long, so the attempt was given up."),
+    /** A backend server was silent for too long. */
+    SILENT("The backend server was silent for too long."),
+    /** An attempt at a silent backend server went on. */
+    KEPT("The attempt went on, since no other one would have been better."),
+    /** An attempt at a silent backend server was given up for one at another. */
+    REPLACED("The attempt was given up, since another backend server could take the request."),
     /** A failed attempt was not followed by another one. */
     NOT_REPEATED("The failed attempt was not followed by another one."),
     /** The retry budget did not allow another attempt. */
--- /dev/null
+++ b/router/src/test/java/org/magnoliaseam/gateway/SilentServerTest.java
@@ -0,0 +1,211 @@
+package org.magnoliaseam.gateway;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.magnoliaseam.gateway.GatewayFixtures.DESK;
+import static org.magnoliaseam.gateway.GatewayFixtures.ENGINES;
+import static org.magnoliaseam.gateway.GatewayFixtures.MILLI;
+import static org.magnoliaseam.gateway.GatewayFixtures.OWN_DOMAIN;
+import static org.magnoliaseam.gateway.GatewayFixtures.request;
+import static org.magnoliaseam.gateway.GatewayFixtures.route;
+import static org.magnoliaseam.gateway.GatewayFixtures.server;
+
+import com.codahale.metrics.MetricRegistry;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicLong;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.magnoliaseam.backend.BackendFailure;
+import org.magnoliaseam.catalog.RequestKind;
+import org.magnoliaseam.catalog.Route;
+import org.magnoliaseam.exchange.AnswerHead;
+import org.magnoliaseam.model.ServiceName;
+
+/** Tests requests whose backend server falls silent and may go on. */
+class SilentServerTest {
+
+    /** Later than the longest time without an answer or event that the routes allow. */
+    private static final long SILENCE = 1300 * MILLI;
+
+    private final AtomicLong mNow = new AtomicLong(1);
+
+    private final RecordingBackend mBackend = new RecordingBackend();
+
+    private final RecordingSink mSink = new RecordingSink();
+
+    private RetryLimits mRetries = GatewayFixtures.RETRIES;
+
+    private final ServerPool mPool = new ServerPool(OWN_DOMAIN, () -> mRetries, mNow::get);
+
+    private final Gateway mGateway =
+            new Gateway(
+                    new GatewayParts(
+                            mPool,
+                            mBackend,
+                            (peer, message) -> {},
+                            new RequestLog(new MetricRegistry()),
+                            mNow::get));
+
+    private void publish(ServiceName service, String... ids) {
+        for (String id : ids) {
+            mPool.publishedServers().add(server(id, service, false));
+        }
+    }
+
+    private void submit(String id, RequestKind kind, int maxTries) {
+        Route route = route(kind, maxTries, true, kind.streamed() ? 200 : 0);
+        mGateway.submit(request(id, route, Prompt.NONE), mSink);
+    }
+
+    private void pass(long nanos) {
+        mNow.addAndGet(nanos);
+        mGateway.tick();
+    }
+
+    private static AnswerHead head() {
+        return new AnswerHead(200, List.of());
+    }
+
+    private static CompletableFuture<Void> content(AttemptListener listener, String text) {
+        return listener.content(ByteBuffer.wrap(text.getBytes(StandardCharsets.UTF_8)));
+    }
+
+    private void assertAnswered(AttemptListener listener) {
+        listener.head(head());
+        listener.ended();
+        assertThat(mSink.mStatus).isEqualTo(200);
+        assertThat(mSink.mRefusal).isNull();
+    }
+
+    /** Tests that no attempt ends without another one in its place. */
+    @Nested
+    class Kept {
+        @Test
+        void onlyAttemptIsNotGivenUp() {
+            publish(DESK, "a", "b");
+            submit("r1", RequestKind.REPEATABLE, 1);
+            pass(SILENCE);
+            assertThat(mBackend.mCancelled).isZero();
+            assertAnswered(mBackend.last());
+        }
+
+        @Test
+        void lastAttemptIsNotGivenUp() {
+            publish(DESK, "a", "b", "c");
+            submit("r1", RequestKind.REPEATABLE, 2);
+            pass(SILENCE);
+            pass(SILENCE);
+            assertThat(mBackend.mOrders).hasSize(2);
+            assertThat(mBackend.mCancelled).isEqualTo(1);
+            assertAnswered(mBackend.last());
+        }
+
+        @Test
+        void attemptAtTheOnlyServerIsNotGivenUp() {
+            publish(DESK, "a");
+            submit("r1", RequestKind.REPEATABLE, 2);
+            pass(SILENCE);
+            assertThat(mBackend.mCancelled).isZero();
+            assertAnswered(mBackend.last());
+        }
+
+        @Test
+        void attemptIsNotGivenUpWithoutRetryBudget() {
+            mRetries = new RetryLimits(0, 0);
+            publish(DESK, "a", "b");
+            submit("r1", RequestKind.REPEATABLE, 2);
+            pass(SILENCE);
+            assertThat(mBackend.mCancelled).isZero();
+            assertAnswered(mBackend.last());
+        }
+
+        @Test
+        void attemptIsNotGivenUpShortlyBeforeTheCallerGivesUp() {
+            publish(DESK, "a", "b");
+            submit("r1", RequestKind.REPEATABLE, 2);
+            mNow.set(4990 * MILLI);
+            mGateway.tick();
+            assertThat(mBackend.mCancelled).isZero();
+            assertAnswered(mBackend.last());
+        }
+
+        @Test
+        void streamThatHasBegunIsNotBrokenOff() {
+            publish(ENGINES, "a", "b", "c");
+            submit("r1", RequestKind.STREAM, 2);
+            AttemptListener first = mBackend.last();
+            first.head(head());
+            content(first, "id: 1\ndata: a\n\n");
+            pass(SILENCE);
+            pass(SILENCE);
+            assertThat(mSink.mAborted).isFalse();
+            mBackend.last().head(head());
+            content(mBackend.last(), "id: 2\ndata: b\n\n");
+            mBackend.last().ended();
+            assertThat(mSink.mComplete).isTrue();
+            assertThat(mSink.mBody).hasToString("id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+        }
+
+        @Test
+        void attemptEndsAtTheDeadlineAllTheSame() {
+            publish(DESK, "a");
+            submit("r1", RequestKind.REPEATABLE, 2);
+            mNow.set(5001 * MILLI);
+            mGateway.tick();
+            assertThat(mBackend.mCancelled).isEqualTo(1);
+            assertThat(mSink.mRefusal).isNotNull();
+        }
+    }
+
+    /** Tests what a silence says of the backend server. */
+    @Nested
+    class Evidence {
+        @Test
+        void silentServersDoNotTakeOverFromEachOther() {
+            publish(DESK, "a", "b");
+            submit("r1", RequestKind.ONCE, 1);
+            submit("r2", RequestKind.ONCE, 1);
+            pass(SILENCE);
+            submit("r3", RequestKind.REPEATABLE, 2);
+            pass(SILENCE);
+            assertThat(mBackend.mOrders).hasSize(3);
+            assertThat(mBackend.mCancelled).isZero();
+        }
+
+        @Test
+        void silentServerIsAvoidedUntilItGoesOn() {
+            publish(ENGINES, "a", "b");
+            submit("r1", RequestKind.STREAM, 1);
+            AttemptListener silent = mBackend.last();
+            String id = mBackend.lastOrder().server().id().value();
+            pass(SILENCE);
+            submit("r2", RequestKind.STREAM, 1);
+            assertThat(mBackend.lastOrder().server().id().value()).isNotEqualTo(id);
+            silent.head(head());
+            content(silent, "id: 1\ndata: a\n\n");
+            pass(MILLI);
+            mBackend.last().failed(BackendFailure.NOT_SENT, "refused");
+            submit("r3", RequestKind.STREAM, 1);
+            assertThat(mBackend.lastOrder().server().id().value()).isEqualTo(id);
+        }
+
+        @Test
+        void oneSilenceOfManyRequestsDoesNotEjectTheServer() {
+            publish(DESK, "a");
+            for (int i = 0; i < 8; i++) {
+                submit("r" + i, RequestKind.ONCE, 1);
+            }
+            pass(SILENCE);
+            mBackend.last().head(head());
+            publish(DESK, "b");
+            for (int i = 8; i < 60; i++) {
+                submit("r" + i, RequestKind.ONCE, 1);
+            }
+            assertThat(mBackend.mOrders.subList(8, 60))
+                    .extracting(order -> order.server().id().value())
+                    .contains("a");
+        }
+    }
+}
