Do not take a slow caller for a silent server

While a caller does not read, no events are read from the backend server either, and the time since the last event was counted as the server's silence: the attempt was given up, the server charged with a failure, and the stream broken off after its last attempt. The time now runs only while the router waits for the server.

SilentServerTest.slowCallerIsNotTheSilenceOfTheServer, red before.

--- a/router/src/main/java/org/magnoliaseam/gateway/AttemptProgress.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/AttemptProgress.java
@@ -40,6 +40,9 @@
     /** The local monotonic time of the first event. */
     private volatile long mFirstNanos;
 
+    /** Whether the caller keeps the last event from being written, so that nothing is read. */
+    private volatile boolean mCallerWaits;
+
     /** Whether the present silence has been reported. */
     private boolean mSilenceReported;
 
@@ -87,6 +90,21 @@
         return pause;
     }
 
+    /** Records that nothing is read until the caller has read the last event. */
+    void callerWaits() {
+        mCallerWaits = true;
+    }
+
+    /**
+     * Records that the caller has read the last event.
+     *
+     * @param nowNanos the local monotonic time
+     */
+    void callerRead(long nowNanos) {
+        mLastNanos = nowNanos;
+        mCallerWaits = false;
+    }
+
     /**
      * Tells whether the first event has been received.
      *
@@ -133,6 +151,9 @@
      * @return true if another backend server should get the request
      */
     boolean silent(long nowNanos) {
+        if (mCallerWaits) {
+            return false;
+        }
         double limit =
                 mBegun
                         ? PAUSE_TIMEOUT_FACTOR * mRoute.pauseTargetMillis()
--- a/router/src/main/java/org/magnoliaseam/gateway/GatewayAttempt.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/GatewayAttempt.java
@@ -288,7 +288,11 @@
         }
         recordProgress();
         AttemptAnswer.Events complete = events.get();
-        return mCall.events(this, mAnswer.head(), complete.bytes(), complete.lastId());
+        mProgress.callerWaits();
+        CompletableFuture<Void> written =
+                mCall.events(this, mAnswer.head(), complete.bytes(), complete.lastId());
+        written.whenComplete((ignored, failure) -> mProgress.callerRead(mParts.clock().nanos()));
+        return written;
     }
 
     @Override
--- a/router/src/test/java/org/magnoliaseam/gateway/RecordingSink.java
+++ b/router/src/test/java/org/magnoliaseam/gateway/RecordingSink.java
@@ -16,6 +16,14 @@
     Refusal mRefusal;
     long mRetryAfterMillis;
 
+    /** Completes once the caller has read what was written. */
+    private CompletableFuture<Void> mRead = CompletableFuture.completedFuture(null);
+
+    RecordingSink writesEndWith(CompletableFuture<Void> read) {
+        mRead = read;
+        return this;
+    }
+
     @Override
     public void head(AnswerHead head) {
         mHeads++;
@@ -25,7 +33,7 @@
     @Override
     public CompletableFuture<Void> write(ByteBuffer bytes) {
         mBody.append(StandardCharsets.UTF_8.decode(bytes));
-        return CompletableFuture.completedFuture(null);
+        return mRead;
     }
 
     @Override
--- a/router/src/test/java/org/magnoliaseam/gateway/SilentServerTest.java
+++ b/router/src/test/java/org/magnoliaseam/gateway/SilentServerTest.java
@@ -207,5 +207,23 @@
                     .extracting(order -> order.server().id().value())
                     .contains("a");
         }
+
+        @Test
+        void slowCallerIsNotTheSilenceOfTheServer() {
+            RecordingSink slow = new RecordingSink();
+            CompletableFuture<Void> read = new CompletableFuture<>();
+            publish(ENGINES, "a", "b");
+            Route route = route(RequestKind.STREAM, 2, true, 200);
+            mGateway.submit(request("r1", route, Prompt.NONE), slow.writesEndWith(read));
+            mBackend.last().head(head());
+            content(mBackend.last(), "id: 1\ndata: a\n\n");
+            pass(SILENCE);
+            assertThat(mBackend.mOrders).hasSize(1);
+            read.complete(null);
+            pass(SILENCE / 2);
+            assertThat(mBackend.mOrders).hasSize(1);
+            pass(SILENCE);
+            assertThat(mBackend.mOrders).hasSize(2);
+        }
     }
 }
