Free the room of a prompt that is stuck at an engine

If the engine answers others meanwhile, the prompt is not in its queue; the count and the permit end then.

SilentServerTest.promptOfAStuckRequestLeavesRoomForOthers, red before.

--- a/router/src/main/java/org/magnoliaseam/gateway/AttemptProgress.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/AttemptProgress.java
@@ -46,6 +46,9 @@
     /** Whether the present silence has been reported. */
     private boolean mSilenceReported;
 
+    /** Whether the prompt no longer counts as waiting, since the attempt is stuck. */
+    private boolean mPromptReleased;
+
     /** Whether the first event has been received, so that the prompt has been processed. */
     private volatile boolean mBegun;
 
@@ -178,6 +181,24 @@
         return begins;
     }
 
+    /**
+     * Ends the count of the prompt as waiting if the attempt is stuck at a backend server that
+     * answers others; guarded by the lock of the request.
+     *
+     * @param server the backend server
+     * @param nowNanos the local monotonic time
+     * @return true the first time
+     */
+    boolean releasesPrompt(BackendServerState server, long nowNanos) {
+        long pauseNanos = pauseNanos(nowNanos);
+        if (mBegun || mPromptReleased || !server.silence().isHeard(pauseNanos, nowNanos)) {
+            return false;
+        }
+        mPromptReleased = true;
+        mFeedback.promptProcessed(0);
+        return true;
+    }
+
     /**
      * Describes a silence for the log.
      *
--- a/router/src/main/java/org/magnoliaseam/gateway/ServerFeedback.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/ServerFeedback.java
@@ -48,6 +48,9 @@
     /** Whether other guarded requests may run at the backend server again. */
     private final AtomicBoolean mGuardEnded = new AtomicBoolean();
 
+    /** Whether the prompt no longer counts as waiting to be processed. */
+    private boolean mPromptProcessed;
+
     /** Whether the attempt no longer counts among the unanswered requests. */
     private boolean mAnswered;
 
@@ -126,13 +129,18 @@
     }
 
     /**
-     * Records that the prompt has been processed, or that the attempt ended before.
+     * Records that the prompt has been processed, or that the attempt ended or got stuck before;
+     * only the first of these counts.
      *
      * @param millis the time to the first event in milliseconds; 0 if it does not measure the
      *     processing speed
      */
     void promptProcessed(double millis) {
         synchronized (mPool) {
+            if (mPromptProcessed) {
+                return;
+            }
+            mPromptProcessed = true;
             server().promptProcessed(mStart.uncachedTokens());
             if (millis > 0) {
                 long now = mClock.nanos();
--- a/router/src/main/java/org/magnoliaseam/gateway/ServerSilence.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/ServerSilence.java
@@ -55,6 +55,17 @@
         return mHeardNanos;
     }
 
+    /**
+     * Tells whether the backend server sends to others while an attempt is silent.
+     *
+     * @param pauseNanos the time since the last sign of the attempt, in nanoseconds
+     * @param nowNanos the local monotonic time
+     * @return true if the attempt alone is stuck
+     */
+    boolean isHeard(long pauseNanos, long nowNanos) {
+        return nowNanos - mHeardNanos < WHOLE_SERVER_SHARE * pauseNanos;
+    }
+
     /**
      * Records that an attempt has been silent for too long.
      *
@@ -64,7 +75,7 @@
      * @return true if this counts as a failure: a stuck attempt, or the first one of a silence
      */
     boolean observed(long pauseNanos, int running, long nowNanos) {
-        if (nowNanos - mHeardNanos < WHOLE_SERVER_SHARE * pauseNanos) {
+        if (isHeard(pauseNanos, nowNanos)) {
             return true;
         }
         boolean known = isSilent(running, nowNanos);
--- a/router/src/main/java/org/magnoliaseam/gateway/SilentAttempt.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/SilentAttempt.java
@@ -86,6 +86,11 @@
         boolean due = nowNanos - mSearchedNanos >= SEARCH_NANOS;
         if (mSuccessor == null && due && progress.silent(nowNanos)) {
             mSearchedNanos = nowNanos;
+            if (progress.releasesPrompt(running.server(), nowNanos)) {
+                PermitMessage.Done claim = running.claim();
+                mActions.add(() -> mParts.permits().done(claim));
+                mActions.add(mParts.waiting()::drain);
+            }
             Optional<KeptReason> reason = keptReason(nowNanos);
             if (reason.isEmpty()) {
                 choose();
--- a/router/src/test/java/org/magnoliaseam/gateway/SilentServerTest.java
+++ b/router/src/test/java/org/magnoliaseam/gateway/SilentServerTest.java
@@ -208,6 +208,24 @@
                     .contains("a");
         }
 
+        @Test
+        void promptOfAStuckRequestLeavesRoomForOthers() {
+            publish(ENGINES, "a");
+            submit("r1", RequestKind.STREAM, 1);
+            AttemptListener going = mBackend.last();
+            going.head(head());
+            content(going, "id: 1\ndata: a\n\n");
+            Route route = route(RequestKind.STREAM, 1, true, 200);
+            Prompt prompt = GatewayFixtures.prompt("shared", 100_000, 100_000);
+            mGateway.submit(request("stuck", route, prompt), mSink);
+            mGateway.submit(request("r2", route, prompt), mSink);
+            assertThat(mBackend.mOrders).hasSize(2);
+            pass(SILENCE - 100 * MILLI);
+            content(going, "id: 2\ndata: b\n\n");
+            pass(200 * MILLI);
+            assertThat(mBackend.mOrders).hasSize(3);
+        }
+
         @Test
         void slowCallerIsNotTheSilenceOfTheServer() {
             RecordingSink slow = new RecordingSink();
