Deliver a server error in hand if the repeated request has no answer

A request that may be repeated and was answered with 500 was sent to another server, and its answer dropped. If the second attempt failed, found no room or met the deadline, the caller was refused with 502, 503 or 504 instead of the answer that a server had given. The answer is now kept until another one comes.

GatewayCallTest.serverErrorInHandIsDeliveredIfTheNextAttemptFails and serverErrorInHandIsDeliveredAtTheDeadline, both red before.

--- a/router/src/main/java/org/magnoliaseam/gateway/CallAnswer.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/CallAnswer.java
@@ -1,6 +1,8 @@
 package org.magnoliaseam.gateway;
 
 import java.nio.ByteBuffer;
+import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.concurrent.CompletableFuture;
 import org.magnoliaseam.error.Refusal;
 import org.magnoliaseam.exchange.AnswerHead;
@@ -20,6 +22,17 @@
     /** The id of the last event that the caller has, from this request or an earlier one. */
     private String mLastEventId;
 
+    /** The answer that is passed on if no other attempt has a better one. */
+    private Optional<Held> mHeld = Optional.empty();
+
+    /**
+     * Holds a complete answer.
+     *
+     * @param head status and header fields
+     * @param body the body
+     */
+    private record Held(AnswerHead head, byte[] body) {}
+
     /**
      * Creates an answer that has not begun.
      *
@@ -102,6 +115,30 @@
         mSink.endWith(ByteBuffer.wrap(body));
     }
 
+    /**
+     * Keeps a complete answer that reports a server error while another attempt is made.
+     *
+     * @param head status and header fields
+     * @param body the body
+     */
+    void hold(AnswerHead head, byte[] body) {
+        mHeld = Optional.of(new Held(head, body));
+    }
+
+    /**
+     * Passes the kept answer on if there is one and the caller has no part of another.
+     *
+     * @return its status; empty if nothing was passed on
+     */
+    OptionalInt deliverHeld() {
+        if (mBegun || mHeld.isEmpty()) {
+            return OptionalInt.empty();
+        }
+        Held held = mHeld.get();
+        whole(held.head(), held.body());
+        return OptionalInt.of(held.head().status());
+    }
+
     /**
      * Ends an incomplete answer: breaks it off if it has begun, and refuses the request otherwise.
      *
--- a/router/src/main/java/org/magnoliaseam/gateway/GatewayCall.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/GatewayCall.java
@@ -1,6 +1,7 @@
 package org.magnoliaseam.gateway;
 
 import java.nio.ByteBuffer;
+import java.util.OptionalInt;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Consumer;
@@ -204,6 +205,7 @@
                     if (head.status() >= 500
                             && mRequest.route().idempotent()
                             && mPlacement.mayRetry()) {
+                        mAnswer.hold(head, body);
                         mPlacement.history().exclude(from.server().id());
                         refuseUnless(mPlacement.place());
                     } else {
@@ -354,11 +356,17 @@
     }
 
     /**
-     * Ends the request without a complete answer.
+     * Ends the request without a complete answer, or with one that reported a server error and was
+     * kept for this case.
      *
      * @param kind the error kind
      */
     private void fail(ErrorKind kind) {
+        OptionalInt held = mAnswer.deliverHeld();
+        if (held.isPresent()) {
+            end("answered_" + held.getAsInt());
+            return;
+        }
         ErrorKind reported = mPlacement.history().reported(kind);
         boolean ran = mPlacement.history().mayHaveBeenExecuted();
         mAnswer.fail(Refusal.of(reported), ran ? 0 : mPlacement.waiting().retryAfterMillis());
--- a/router/src/test/java/org/magnoliaseam/gateway/GatewayCallTest.java
+++ b/router/src/test/java/org/magnoliaseam/gateway/GatewayCallTest.java
@@ -279,6 +279,29 @@
             assertThat(mSink.mStatus).isEqualTo(200);
         }
 
+        @Test
+        void serverErrorInHandIsDeliveredIfTheNextAttemptFails() {
+            submit(RequestKind.REPEATABLE, 2, false);
+            mBackend.last().head(head(500));
+            mBackend.last().ended();
+            assertThat(mSink.mHeads).isZero();
+            mBackend.last().failed(BackendFailure.CONNECTION_LOST, "reset");
+            assertThat(mSink.mStatus).isEqualTo(500);
+            assertThat(mSink.mComplete).isTrue();
+            assertThat(mSink.mRefusal).isNull();
+        }
+
+        @Test
+        void serverErrorInHandIsDeliveredAtTheDeadline() {
+            submit(RequestKind.REPEATABLE, 2, false);
+            mBackend.last().head(head(500));
+            mBackend.last().ended();
+            mNow.set(5001 * MILLI);
+            mGateway.tick();
+            assertThat(mSink.mStatus).isEqualTo(500);
+            assertThat(mSink.mRefusal).isNull();
+        }
+
         @Test
         void runsOnNoMoreServersThanTheRouteAllows() {
             submit(RequestKind.REPEATABLE, 2, false);
