Let a stream that has begun wait until its caller gives up

A stream whose attempt had failed and that found no server in service was broken off after half of its target, and one that found no room as soon as the forecast was too long. An early refusal helps a caller that has nothing yet; a caller that has a part of the answer gains nothing, since a broken-off stream tells no time to come back. It now waits until the caller is expected to give up.

--- a/router/src/main/java/org/magnoliaseam/gateway/CallWait.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/CallWait.java
@@ -58,6 +58,9 @@
     /** The local monotonic time at which the caller gives up without a further event. */
     private long mDeadlineNanos;
 
+    /** Whether the caller has a part of the answer, which an early end would break off. */
+    private boolean mBegun;
+
     /** The local monotonic time before which no backend server takes the request. */
     private long mNotBeforeNanos;
 
@@ -102,6 +105,7 @@
      */
     void restart(boolean begun) {
         mSinceNanos = mParts.clock().nanos();
+        mBegun = begun;
         if (begun) {
             mDeadlineNanos = mRequest.eventDeadlineNanos(mSinceNanos);
         }
@@ -277,7 +281,7 @@
      * @return true if it has to be refused
      */
     boolean expired() {
-        if (mKind == ErrorKind.NO_BACKEND_SERVER) {
+        if (mKind == ErrorKind.NO_BACKEND_SERVER && !mBegun) {
             return waitedMillis() >= MAX_UNSERVED_WAIT_SHARE * mRequest.route().targetMillis();
         }
         return isHopeless(0);
@@ -312,14 +316,19 @@
     }
 
     /**
-     * Tells whether the request cannot be answered in time after a further wait.
+     * Tells whether the request cannot be answered in time after a further wait. A stream that has
+     * begun waits until its caller gives up: the caller gains nothing by an earlier end.
      *
      * @param forecastMillis the further wait in milliseconds
      * @return true if it cannot
      */
     private boolean isHopeless(double forecastMillis) {
+        long now = mParts.clock().nanos();
+        if (mBegun) {
+            return now - mDeadlineNanos >= 0;
+        }
         double wait = Math.max(forecastMillis, millisUntil(mNotBeforeNanos));
-        return RefusalRule.isHopeless(mParts.clock().nanos(), wait, mServiceMillis, mDeadlineNanos);
+        return RefusalRule.isHopeless(now, wait, mServiceMillis, mDeadlineNanos);
     }
 
     /**
