Try a silent server with one request at a time

Attempts that go on at a silent or ejected server counted as probes that had not been answered, so one stuck request kept its server from all others until its deadline, up to 15 s. Silent attempts no longer count; 400 ms after the last observation one request at a time shows whether the server goes on. A server that has not been heard from since its silence takes over nothing that runs.

SilentServerTest.stuckRequestsDoNotKeepTheirServerFromOthers, red before.

--- a/router/src/main/java/org/magnoliaseam/gateway/BackendServerState.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/BackendServerState.java
@@ -331,6 +331,15 @@
         return mRunning;
     }
 
+    /**
+     * Returns the attempts of this entry VM in progress there that are not known to be silent.
+     *
+     * @return the number of attempts
+     */
+    int active() {
+        return mRunning - mSilence.attempts();
+    }
+
     /**
      * Returns the prompt tokens of this entry VM that wait to be processed.
      *
--- a/router/src/main/java/org/magnoliaseam/gateway/CacheSources.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/CacheSources.java
@@ -145,7 +145,7 @@
      * @return false if its recent attempts failed
      */
     private static boolean mayServe(BackendServerState state, long nowNanos) {
-        return !state.failures().ejected(state.running(), nowNanos)
+        return !state.failures().ejected(state.active(), nowNanos)
                 && state.failures().rate() < MAX_FAILURE_RATE;
     }
 
--- a/router/src/main/java/org/magnoliaseam/gateway/FailureHistory.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/FailureHistory.java
@@ -61,13 +61,13 @@
     /**
      * Tells whether the backend server is ejected and gets no new work.
      *
-     * @param running the attempts in progress there; after the ejection time it gets one at a time
-     *     as a probe until one succeeds
+     * @param active the attempts in progress there that are not known to be silent; after the
+     *     ejection time it gets one at a time as a probe until one succeeds
      * @param nowNanos the local monotonic time
      * @return true while it is ejected
      */
-    boolean ejected(int running, long nowNanos) {
-        return mEjected && (nowNanos - mEjectedUntilNanos < 0 || running > 0);
+    boolean ejected(int active, long nowNanos) {
+        return mEjected && (nowNanos - mEjectedUntilNanos < 0 || active > 0);
     }
 
     /**
--- a/router/src/main/java/org/magnoliaseam/gateway/ServerCandidates.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/ServerCandidates.java
@@ -84,8 +84,8 @@
      * @return true if it may get requests
      */
     private static boolean isSound(BackendServerState state, long now) {
-        return !state.failures().ejected(state.running(), now)
-                && !state.silence().isSilent(state.running(), now);
+        return !state.failures().ejected(state.active(), now)
+                && !state.silence().isSilent(state.active(), now);
     }
 
     /**
@@ -100,7 +100,7 @@
             List<BackendServerState> present, Set<BackendServerId> excluded, long now) {
         Set<BackendServerId> unfit = new HashSet<>(excluded);
         for (BackendServerState state : present) {
-            if (!isSound(state, now)) {
+            if (!isSound(state, now) || state.silence().isUnresolved()) {
                 unfit.add(state.id());
             }
         }
--- a/router/src/main/java/org/magnoliaseam/gateway/ServerFeedback.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/ServerFeedback.java
@@ -48,6 +48,12 @@
     /** Whether other guarded requests may run at the backend server again. */
     private final AtomicBoolean mGuardEnded = new AtomicBoolean();
 
+    /** Whether the attempt counts among the silent ones. */
+    private volatile boolean mSilent;
+
+    /** Whether the attempt has ended. */
+    private boolean mEnded;
+
     /** Whether the prompt no longer counts as waiting to be processed. */
     private boolean mPromptProcessed;
 
@@ -243,6 +249,9 @@
     /** Records that the backend server continues its answer. */
     void progressed() {
         server().silence().heard(mClock.nanos());
+        if (mSilent) {
+            endSilence();
+        }
         mPool.crashes().answers(incarnation(), mSentNanos);
     }
 
@@ -254,12 +263,26 @@
     void silent(long pauseNanos) {
         synchronized (mPool) {
             long now = mClock.nanos();
-            if (server().silence().observed(pauseNanos, server().running(), now)) {
+            if (!mSilent && !mEnded) {
+                mSilent = true;
+                server().silence().count(1);
+            }
+            if (server().silence().observed(pauseNanos, server().active(), now)) {
                 server().failures().failed(false, now);
             }
         }
     }
 
+    /** Ends the silence of the attempt. */
+    private void endSilence() {
+        synchronized (mPool) {
+            if (mSilent) {
+                mSilent = false;
+                server().silence().count(-1);
+            }
+        }
+    }
+
     /** Records that the request has not crashed the backend server. */
     void survived() {
         mPool.crashes().answered(mRequest);
@@ -290,6 +313,8 @@
 
     /** Counts the end of the attempt. */
     private void end() {
+        mEnded = true;
+        endSilence();
         endGuard();
         leavePushback(false);
         server().end();
--- a/router/src/main/java/org/magnoliaseam/gateway/ServerSilence.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/ServerSilence.java
@@ -14,14 +14,17 @@
     private static final double WHOLE_SERVER_SHARE = 0.5;
 
     /**
-     * The time after which a silent backend server gets a request again if none is in progress
-     * there that would show that it goes on, in nanoseconds.
+     * The time after which a silent backend server gets another request that shows whether it goes
+     * on, in nanoseconds.
      */
     private static final long PROBE_NANOS = 400_000_000L;
 
     /** The local monotonic time of the last part of an answer. */
     private volatile long mHeardNanos;
 
+    /** The silent attempts in progress at the backend server. */
+    private int mAttempts;
+
     /** Whether the backend server was silent when last observed. */
     private boolean mSilent;
 
@@ -55,6 +58,24 @@
         return mHeardNanos;
     }
 
+    /**
+     * Counts attempts that fall silent or end their silence.
+     *
+     * @param change the change of the number of silent attempts
+     */
+    void count(int change) {
+        mAttempts += change;
+    }
+
+    /**
+     * Returns the silent attempts in progress at the backend server.
+     *
+     * @return the number of attempts
+     */
+    int attempts() {
+        return mAttempts;
+    }
+
     /**
      * Tells whether the backend server sends to others while an attempt is silent.
      *
@@ -70,15 +91,15 @@
      * Records that an attempt has been silent for too long.
      *
      * @param pauseNanos the time since its last sign, in nanoseconds
-     * @param running the attempts in progress at the backend server
+     * @param active the attempts in progress at the backend server that are not known to be silent
      * @param nowNanos the local monotonic time
      * @return true if this counts as a failure: a stuck attempt, or the first one of a silence
      */
-    boolean observed(long pauseNanos, int running, long nowNanos) {
+    boolean observed(long pauseNanos, int active, long nowNanos) {
         if (isHeard(pauseNanos, nowNanos)) {
             return true;
         }
-        boolean known = isSilent(running, nowNanos);
+        boolean known = isSilent(active, nowNanos);
         mSilent = true;
         mObservedNanos = nowNanos;
         return !known;
@@ -86,15 +107,23 @@
 
     /**
      * Tells whether the backend server has stopped sending. It counts as such until it is heard
-     * from, or for a short time if no attempt is in progress there.
+     * from, or for a short time, after which it gets one request at a time.
      *
-     * @param running the attempts in progress at the backend server
+     * @param active the attempts in progress at the backend server that are not known to be silent
      * @param nowNanos the local monotonic time
      * @return true while others should be preferred
      */
-    boolean isSilent(int running, long nowNanos) {
-        boolean lapsed = running == 0 && nowNanos - mObservedNanos >= PROBE_NANOS;
-        mSilent &= mHeardNanos - mObservedNanos < 0 && !lapsed;
-        return mSilent;
+    boolean isSilent(int active, long nowNanos) {
+        boolean lapsed = active == 0 && nowNanos - mObservedNanos >= PROBE_NANOS;
+        return isUnresolved() && !lapsed;
+    }
+
+    /**
+     * Tells whether the backend server has not been heard from since its last silence.
+     *
+     * @return true if it should not take over a request that runs elsewhere
+     */
+    boolean isUnresolved() {
+        return mSilent && mHeardNanos - mObservedNanos < 0;
     }
 }
--- a/router/src/main/java/org/magnoliaseam/gateway/ServiceSpillover.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/ServiceSpillover.java
@@ -184,7 +184,7 @@
         Map<FailureDomain, Integer> usable = new LinkedHashMap<>();
         for (BackendServerState state : present) {
             boolean cold = mService != null && state.coldStart().isActive(mService, nowNanos);
-            boolean ejected = state.failures().ejected(state.running(), nowNanos);
+            boolean ejected = state.failures().ejected(state.active(), nowNanos);
             FailureDomain domain = state.entry().failureDomain();
             warm.merge(domain, cold ? 0 : 1, Integer::sum);
             usable.merge(domain, cold || ejected ? 0 : 1, Integer::sum);
--- a/router/src/main/java/org/magnoliaseam/gateway/WantedServer.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/WantedServer.java
@@ -50,7 +50,7 @@
         synchronized (mPool) {
             long now = mClock.nanos();
             return mServers.isInService(mState, request.service().name())
-                    && !mState.failures().ejected(mState.running(), now)
+                    && !mState.failures().ejected(mState.active(), now)
                     && !ServerRoom.hasRoom(request, mState, now);
         }
     }
--- a/router/src/test/java/org/magnoliaseam/gateway/SilentServerTest.java
+++ b/router/src/test/java/org/magnoliaseam/gateway/SilentServerTest.java
@@ -15,12 +15,14 @@
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.magnoliaseam.backend.BackendFailure;
 import org.magnoliaseam.catalog.RequestKind;
 import org.magnoliaseam.catalog.Route;
 import org.magnoliaseam.exchange.AnswerHead;
+import org.magnoliaseam.model.BackendServerId;
 import org.magnoliaseam.model.ServiceName;
 
 /** Tests requests whose backend server falls silent and may go on. */
@@ -208,6 +210,51 @@
                     .contains("a");
         }
 
+        private List<Integer> attemptsAt(String id, int from) {
+            return IntStream.range(from, mBackend.mOrders.size())
+                    .filter(i -> mBackend.mOrders.get(i).server().id().value().equals(id))
+                    .boxed()
+                    .toList();
+        }
+
+        @Test
+        void stuckRequestsDoNotKeepTheirServerFromOthers() {
+            publish(DESK, "a");
+            submit("stuck-1", RequestKind.ONCE, 1);
+            submit("stuck-2", RequestKind.ONCE, 1);
+            pass(SILENCE);
+            publish(DESK, "b");
+            pass(SILENCE);
+            for (int i = 0; i < 40; i++) {
+                submit("x" + i, RequestKind.ONCE, 1);
+            }
+            List<Integer> probes = attemptsAt("a", 2);
+            assertThat(probes).hasSize(1);
+            assertAnswered(mBackend.mListeners.get(probes.get(0)));
+            for (int i = 0; i < 20; i++) {
+                submit("y" + i, RequestKind.ONCE, 1);
+            }
+            assertThat(attemptsAt("a", 42)).hasSizeGreaterThan(1);
+        }
+
+        @Test
+        void streamThatHasBegunIsNotBrokenOffWhileItWaits() {
+            publish(ENGINES, "a");
+            submit("r1", RequestKind.STREAM, 2);
+            mBackend.last().head(head());
+            content(mBackend.last(), "id: 1\ndata: a\n\n");
+            mPool.publishedServers().withdraw(new BackendServerId("a"));
+            mBackend.last().failed(BackendFailure.CONNECTION_LOST, "reset");
+            pass(1000 * MILLI);
+            assertThat(mSink.mAborted).isFalse();
+            publish(ENGINES, "b");
+            pass(MILLI);
+            mBackend.last().head(head());
+            content(mBackend.last(), "id: 2\ndata: b\n\n");
+            mBackend.last().ended();
+            assertThat(mSink.mComplete).isTrue();
+        }
+
         @Test
         void promptOfAStuckRequestLeavesRoomForOthers() {
             publish(ENGINES, "a");
