Log and count unexpected failures and requests open after their deadline

Change: FailureLog counts what a step threw (gateway.failures.decision, action, drain, tick, permit) and logs it at ERROR with the request and the cause, at most once a second for a kind of step. gateway.overdue is the number of requests still open 500 ms after their deadline, with an ERROR line at most once in 5 s. A skipped action shows as a failed action alone; a queue or a periodic check that stopped shows as overdue requests as well; a slow request shows as neither, since the periodic check ends it at its deadline. The exceptions go on as before in this commit; tick is not used yet.

--- a/router/src/main/java/org/magnoliaseam/gateway/DeferredActions.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/DeferredActions.java
@@ -2,6 +2,9 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import org.magnoliaseam.failure.FailedStep;
+import org.magnoliaseam.failure.FailureLog;
+import org.magnoliaseam.model.RequestId;
 
 /**
  * Runs decisions under a lock and then, without the lock, the actions that they added. The client
@@ -13,6 +16,23 @@
     /** The actions added by the current decision, in order; guarded by this object. */
     private final List<Runnable> mActions = new ArrayList<>();
 
+    /** Logs unexpected failures. */
+    private final FailureLog mFailures;
+
+    /** The request. */
+    private final RequestId mRequest;
+
+    /**
+     * Creates a lock without actions.
+     *
+     * @param failures logs unexpected failures
+     * @param request the request
+     */
+    DeferredActions(FailureLog failures, RequestId request) {
+        mFailures = failures;
+        mRequest = request;
+    }
+
     /**
      * Adds an action that runs after the current decision, without the lock.
      *
@@ -32,13 +52,28 @@
         boolean nested = Thread.holdsLock(this);
         List<Runnable> actions;
         synchronized (this) {
-            decision.run();
+            observe(FailedStep.DECISION, decision);
             if (nested || mActions.isEmpty()) {
                 return;
             }
             actions = List.copyOf(mActions);
             mActions.clear();
         }
-        actions.forEach(Runnable::run);
+        actions.forEach(action -> observe(FailedStep.ACTION, action));
+    }
+
+    /**
+     * Runs a step and logs its failure.
+     *
+     * @param kind the kind of step
+     * @param step the step
+     */
+    private void observe(FailedStep kind, Runnable step) {
+        try {
+            step.run();
+        } catch (RuntimeException | Error e) {
+            mFailures.failed(kind, mRequest.value(), e);
+            throw e;
+        }
     }
 }
--- a/router/src/main/java/org/magnoliaseam/gateway/Gateway.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/Gateway.java
@@ -1,18 +1,34 @@
 package org.magnoliaseam.gateway;
 
+import java.util.List;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
 import org.magnoliaseam.exchange.Cancellation;
 
 /** Serves the requests of callers until they have ended. Thread-safe. */
 public final class Gateway {
 
+    /** The time after its deadline from which an open request counts as overdue, in nanoseconds. */
+    private static final long OVERDUE_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
+
+    /** The shortest time between two log lines on overdue requests, in nanoseconds. */
+    private static final long OVERDUE_LOG_NANOS = TimeUnit.SECONDS.toNanos(5);
+
+    /** Logs overdue requests. */
+    private static final Logger LOG = LogManager.getLogger("gateway");
+
     /** The requests in progress. */
     private final Set<GatewayCall> mCalls = ConcurrentHashMap.newKeySet();
 
     /** The components that each request uses. */
     private final GatewayParts mParts;
 
+    /** The local monotonic time before which overdue requests are not logged. */
+    private long mNextOverdueLogNanos;
+
     /**
      * Creates a gateway.
      *
@@ -20,6 +36,7 @@
      */
     public Gateway(GatewayParts parts) {
         mParts = parts;
+        mNextOverdueLogNanos = parts.clock().nanos();
     }
 
     /**
@@ -44,11 +61,50 @@
         if (mCalls.isEmpty()) {
             return;
         }
+        logOverdue();
         mParts.permits().tick();
         mCalls.forEach(GatewayCall::tick);
         mParts.waiting().drain();
     }
 
+    /** Logs that requests are open well after their deadline, which only a failure explains. */
+    private void logOverdue() {
+        long now = mParts.clock().nanos();
+        if (now - mNextOverdueLogNanos < 0) {
+            return;
+        }
+        List<GatewayRequest> overdue = overdueRequests(now);
+        if (!overdue.isEmpty()) {
+            mNextOverdueLogNanos = now + OVERDUE_LOG_NANOS;
+            LOG.error(
+                    "gateway: requests are open after their deadline, requests={} request={}",
+                    overdue.size(),
+                    overdue.get(0).id().value());
+        }
+    }
+
+    /**
+     * Returns the requests that are open well after their deadline.
+     *
+     * @param nowNanos the local monotonic time
+     * @return the requests
+     */
+    private List<GatewayRequest> overdueRequests(long nowNanos) {
+        return mCalls.stream()
+                .map(GatewayCall::request)
+                .filter(request -> nowNanos - request.deadlineNanos() >= OVERDUE_NANOS)
+                .toList();
+    }
+
+    /**
+     * Returns the number of requests that are open well after their deadline.
+     *
+     * @return the number
+     */
+    public int overdue() {
+        return overdueRequests(mParts.clock().nanos()).size();
+    }
+
     /**
      * Returns the number of choices of a backend server, which shows the processor time that
      * waiting requests cost.
--- a/router/src/main/java/org/magnoliaseam/gateway/GatewayCall.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/GatewayCall.java
@@ -14,7 +14,7 @@
 final class GatewayCall {
 
     /** The lock of the request, and the actions to run after releasing it. */
-    private final DeferredActions mActions = new DeferredActions();
+    private final DeferredActions mActions;
 
     /** The request. */
     private final GatewayRequest mRequest;
@@ -54,6 +54,7 @@
             GatewayParts parts,
             Consumer<GatewayCall> onEnd) {
         mRequest = request;
+        mActions = new DeferredActions(parts.failures(), request.id());
         mAnswer = new CallAnswer(sink, request.lastEventId());
         mParts = parts;
         mOnEnd = onEnd;
--- a/router/src/main/java/org/magnoliaseam/gateway/GatewayParts.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/GatewayParts.java
@@ -1,5 +1,6 @@
 package org.magnoliaseam.gateway;
 
+import org.magnoliaseam.failure.FailureLog;
 import org.magnoliaseam.permit.EnginePermits;
 import org.magnoliaseam.permit.PermitSender;
 import org.magnoliaseam.time.MonotonicClock;
@@ -13,6 +14,7 @@
  * @param waiting holds the requests that wait for a backend server
  * @param answers limits the memory of incomplete answers
  * @param log writes the log record of each request
+ * @param failures logs and counts unexpected failures
  * @param clock the clock
  */
 public record GatewayParts(
@@ -22,6 +24,7 @@
         WaitingCalls waiting,
         AnswerMemory answers,
         RequestLog log,
+        FailureLog failures,
         MonotonicClock clock) {
 
     /**
@@ -39,13 +42,34 @@
             PermitSender peers,
             RequestLog log,
             MonotonicClock clock) {
+        this(pool, port, peers, log, new FailureLog(log.metrics(), clock), clock);
+    }
+
+    /**
+     * Creates the components that log their failures.
+     *
+     * @param pool chooses backend servers
+     * @param port sends attempts to backend servers
+     * @param peers sends messages about permits to other entry VMs
+     * @param log writes the log record of each request
+     * @param failures logs and counts unexpected failures
+     * @param clock the clock
+     */
+    private GatewayParts(
+            ServerPool pool,
+            AttemptSender port,
+            PermitSender peers,
+            RequestLog log,
+            FailureLog failures,
+            MonotonicClock clock) {
         this(
                 pool,
                 port,
-                new EnginePermits(peers, pool::membership, clock),
-                new WaitingCalls(clock),
+                new EnginePermits(peers, pool::membership, failures, clock),
+                new WaitingCalls(failures, clock),
                 AnswerMemory.ofHeap(),
                 log,
+                failures,
                 clock);
     }
 }
--- a/router/src/main/java/org/magnoliaseam/gateway/RequestLog.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/RequestLog.java
@@ -35,6 +35,15 @@
         mMetrics = metrics;
     }
 
+    /**
+     * Returns the registry for the counters and timers.
+     *
+     * @return the metrics
+     */
+    MetricRegistry metrics() {
+        return mMetrics;
+    }
+
     /**
      * Writes the record of a request that has ended.
      *
--- a/router/src/main/java/org/magnoliaseam/gateway/WaitingCalls.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/WaitingCalls.java
@@ -9,6 +9,8 @@
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
+import org.magnoliaseam.failure.FailedStep;
+import org.magnoliaseam.failure.FailureLog;
 import org.magnoliaseam.model.ServiceName;
 import org.magnoliaseam.placement.AccountRates;
 import org.magnoliaseam.placement.DrainForecast;
@@ -42,6 +44,9 @@
     /** Logs which accounts stand out. */
     private final AccountNotices mNotices = new AccountNotices();
 
+    /** Logs unexpected failures. */
+    private final FailureLog mFailures;
+
     /** The clock. */
     private final MonotonicClock mClock;
 
@@ -80,9 +85,11 @@
     /**
      * Creates an empty set of queues.
      *
+     * @param failures logs unexpected failures
      * @param clock the clock
      */
-    WaitingCalls(MonotonicClock clock) {
+    WaitingCalls(FailureLog failures, MonotonicClock clock) {
+        mFailures = failures;
         mClock = clock;
     }
 
@@ -300,7 +307,7 @@
             if (call == null || call.request().priority() >= blockedPriority) {
                 break;
             }
-            Attempted attempted = call.tryStart();
+            Attempted attempted = tryStart(call);
             if (attempted == Attempted.STARTED) {
                 remove(call);
                 continue;
@@ -313,6 +320,21 @@
         blocked(service, blockedPriority);
     }
 
+    /**
+     * Tries to start a request.
+     *
+     * @param call the request
+     * @return the result
+     */
+    private Attempted tryStart(GatewayCall call) {
+        try {
+            return call.tryStart();
+        } catch (RuntimeException | Error e) {
+            mFailures.failed(FailedStep.DRAIN, call.request().id().value(), e);
+            throw e;
+        }
+    }
+
     /**
      * Records the highest priority that found no room.
      *
--- a/router/src/main/java/org/magnoliaseam/permit/EnginePermits.java
+++ b/router/src/main/java/org/magnoliaseam/permit/EnginePermits.java
@@ -8,6 +8,8 @@
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
+import org.magnoliaseam.failure.FailedStep;
+import org.magnoliaseam.failure.FailureLog;
 import org.magnoliaseam.gossip.Membership;
 import org.magnoliaseam.gossip.PeerEndpoint;
 import org.magnoliaseam.time.MonotonicClock;
@@ -33,6 +35,9 @@
     /** Provides the entry VMs that may be alive. */
     private final Supplier<Membership> mMembers;
 
+    /** Logs unexpected failures. */
+    private final FailureLog mFailures;
+
     /** The clock. */
     private final MonotonicClock mClock;
 
@@ -95,11 +100,17 @@
      *
      * @param sender sends messages to other entry VMs
      * @param members provides the entry VMs that may be alive
+     * @param failures logs unexpected failures
      * @param clock the clock
      */
-    public EnginePermits(PermitSender sender, Supplier<Membership> members, MonotonicClock clock) {
+    public EnginePermits(
+            PermitSender sender,
+            Supplier<Membership> members,
+            FailureLog failures,
+            MonotonicClock clock) {
         mSender = sender;
         mMembers = members;
+        mFailures = failures;
         mClock = clock;
     }
 
@@ -269,7 +280,7 @@
         }
         repeated.forEach(question -> mSender.send(question.home(), question.ask()));
         renewals.forEach(mSender::send);
-        late.forEach(question -> question.callback().accept(new PermitOutcome.Unknown()));
+        late.forEach(question -> callBack(question, new PermitOutcome.Unknown()));
     }
 
     /**
@@ -288,7 +299,22 @@
             }
         }
         if (question != null) {
-            question.callback().accept(outcome(reply));
+            callBack(question, outcome(reply));
+        }
+    }
+
+    /**
+     * Passes the outcome of a question on.
+     *
+     * @param question the question
+     * @param outcome its outcome
+     */
+    private void callBack(Question question, PermitOutcome outcome) {
+        try {
+            question.callback().accept(outcome);
+        } catch (RuntimeException | Error e) {
+            mFailures.failed(FailedStep.PERMIT, "", e);
+            throw e;
         }
     }
 
--- a/router/src/main/java/org/magnoliaseam/route/GatewayFactory.java
+++ b/router/src/main/java/org/magnoliaseam/route/GatewayFactory.java
@@ -202,6 +202,7 @@
         metrics.registerGauge("gateway.catalog_fresh", () -> currentCatalog.fresh() ? 1 : 0);
         metrics.registerGauge("gateway.backend_servers", pool::size);
         metrics.registerGauge("gateway.active", gateway::active);
+        metrics.registerGauge("gateway.overdue", gateway::overdue);
         metrics.registerGauge("gateway.choices", gateway::choices);
         ServerNotices notices = pool.notices();
         metrics.registerGauge("gateway.leaving.begun", notices::leavingBegun);
--- /dev/null
+++ b/router/src/test/java/org/magnoliaseam/gateway/FailureIsolationTest.java
@@ -0,0 +1,73 @@
+package org.magnoliaseam.gateway;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.catchThrowable;
+import static org.magnoliaseam.gateway.GatewayFixtures.DESK;
+import static org.magnoliaseam.gateway.GatewayFixtures.MILLI;
+import static org.magnoliaseam.gateway.GatewayFixtures.OWN_DOMAIN;
+import static org.magnoliaseam.gateway.GatewayFixtures.request;
+import static org.magnoliaseam.gateway.GatewayFixtures.route;
+import static org.magnoliaseam.gateway.GatewayFixtures.server;
+
+import com.codahale.metrics.MetricRegistry;
+import java.util.concurrent.atomic.AtomicLong;
+import org.junit.jupiter.api.Test;
+import org.magnoliaseam.catalog.RequestKind;
+import org.magnoliaseam.catalog.Route;
+
+/**
+ * Tests that an unexpected failure is seen and ends no more than the request that it belongs to.
+ */
+class FailureIsolationTest {
+
+    private static final Route ROUTE = route(RequestKind.REPEATABLE, 2, false, 0);
+
+    private final AtomicLong mNow = new AtomicLong(1);
+
+    private final RecordingBackend mBackend = new RecordingBackend();
+
+    private final MetricRegistry mMetrics = new MetricRegistry();
+
+    private final ServerPool mPool =
+            new ServerPool(OWN_DOMAIN, () -> GatewayFixtures.RETRIES, mNow::get);
+
+    private boolean mBroken;
+
+    private final Gateway mGateway =
+            new Gateway(
+                    new GatewayParts(
+                            mPool,
+                            (order, listener) -> {
+                                if (mBroken) {
+                                    throw new IllegalStateException("cannot start");
+                                }
+                                return mBackend.start(order, listener);
+                            },
+                            (peer, message) -> {},
+                            new RequestLog(mMetrics),
+                            mNow::get));
+
+    private RecordingSink submit(String id) {
+        RecordingSink sink = new RecordingSink();
+        mGateway.submit(request(id, ROUTE, Prompt.NONE), sink);
+        return sink;
+    }
+
+    @Test
+    void failedActionIsCounted() {
+        mPool.publishedServers().add(server("desk-a", DESK, false));
+        mBroken = true;
+        catchThrowable(() -> submit("r1"));
+        assertThat(mMetrics.counter("gateway.failures.action").getCount()).isEqualTo(1);
+    }
+
+    @Test
+    void requestThatIsOpenAfterItsDeadlineIsCounted() {
+        mPool.publishedServers().add(server("desk-a", DESK, false));
+        submit("r1");
+        mNow.set(5499 * MILLI);
+        assertThat(mGateway.overdue()).isZero();
+        mNow.set(5500 * MILLI);
+        assertThat(mGateway.overdue()).isEqualTo(1);
+    }
+}
--- a/router/src/test/java/org/magnoliaseam/gossip/GossipTest.java
+++ b/router/src/test/java/org/magnoliaseam/gossip/GossipTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.catchThrowable;
 
+import com.codahale.metrics.MetricRegistry;
 import java.io.IOException;
 import java.util.List;
 import java.util.Random;
@@ -12,6 +13,7 @@
 import net.jqwik.api.constraints.IntRange;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.magnoliaseam.failure.FailureLog;
 import org.magnoliaseam.leaving.ServerIncarnation;
 import org.magnoliaseam.model.BackendServerId;
 import org.magnoliaseam.model.FailureDomain;
@@ -92,7 +94,12 @@
     void digestIsNotTakenForAPermit() throws IOException {
         byte[] bytes = DigestCodec.encode(digest());
         PeerEndpoint peer = new PeerEndpoint("10.0.0.1", 1);
-        EnginePermits permits = new EnginePermits((to, message) -> {}, () -> null, () -> 0);
+        EnginePermits permits =
+                new EnginePermits(
+                        (to, message) -> {},
+                        () -> null,
+                        new FailureLog(new MetricRegistry(), () -> 0),
+                        () -> 0);
         assertThat(PermitDatagrams.receiver(permits).received(peer, bytes, bytes.length)).isFalse();
     }
 
--- a/router/src/test/java/org/magnoliaseam/permit/PermitTest.java
+++ b/router/src/test/java/org/magnoliaseam/permit/PermitTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
+import com.codahale.metrics.MetricRegistry;
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -13,6 +14,7 @@
 import java.util.concurrent.atomic.AtomicLong;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.magnoliaseam.failure.FailureLog;
 import org.magnoliaseam.gossip.Membership;
 import org.magnoliaseam.gossip.PeerEndpoint;
 import org.magnoliaseam.model.BackendServerId;
@@ -157,6 +159,7 @@
                         }
                     },
                     () -> members,
+                    new FailureLog(new MetricRegistry(), mNow::get),
                     mNow::get);
         }
 
--- a/router/src/test/java/org/magnoliaseam/permit/SlotPermitTest.java
+++ b/router/src/test/java/org/magnoliaseam/permit/SlotPermitTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import com.codahale.metrics.MetricRegistry;
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -13,6 +14,7 @@
 import java.util.Set;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.magnoliaseam.failure.FailureLog;
 import org.magnoliaseam.gossip.Membership;
 import org.magnoliaseam.gossip.PeerEndpoint;
 import org.magnoliaseam.model.BackendServerId;
@@ -104,6 +106,7 @@
                     new EnginePermits(
                             (peer, message) -> send(own, peer, message),
                             () -> members(own),
+                            new FailureLog(new MetricRegistry(), () -> mNow),
                             () -> mNow));
         }
 
