Keep the queue going after a waiting request that cannot start

Cause: WaitingCalls.drain counted its calls up and down without finally. An exception while one request was started left the count above zero, so that every later call returned at once; the requests behind it got no try in that call either.

Change: the count is released in all cases; a request whose start throws no longer waits and the next one is tried; a service whose queue throws does not end the drain of the others. Each failure is counted as gateway.failures.drain and logged.

--- a/router/src/main/java/org/magnoliaseam/failure/FailureLog.java
+++ b/router/src/main/java/org/magnoliaseam/failure/FailureLog.java
@@ -47,6 +47,25 @@
         }
     }
 
+    /**
+     * Runs a step. What it throws is counted and logged and goes no further, so that the steps
+     * after it run.
+     *
+     * @param kind the kind of step
+     * @param request the request concerned; empty if none
+     * @param step the step
+     * @return false if it threw
+     */
+    public boolean guard(FailedStep kind, String request, Runnable step) {
+        try {
+            step.run();
+            return true;
+        } catch (RuntimeException | Error e) {
+            failed(kind, request, e);
+            return false;
+        }
+    }
+
     /**
      * Counts a failure, and logs it unless another one of the same kind was logged shortly before.
      *
--- a/router/src/main/java/org/magnoliaseam/gateway/WaitingCalls.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/WaitingCalls.java
@@ -286,10 +286,18 @@
             return;
         }
         int handled = 1;
-        do {
-            services().forEach(this::drain);
-            handled = mDrains.addAndGet(-handled);
-        } while (handled > 0);
+        try {
+            do {
+                for (ServiceName service : services()) {
+                    mFailures.guard(FailedStep.DRAIN, "", () -> drain(service));
+                }
+                handled = mDrains.addAndGet(-handled);
+            } while (handled > 0);
+        } finally {
+            if (handled > 0) {
+                mDrains.set(0);
+            }
+        }
     }
 
     /**
@@ -321,7 +329,7 @@
     }
 
     /**
-     * Tries to start a request.
+     * Tries to start a request; one that fails no longer waits, so that others do not wait for it.
      *
      * @param call the request
      * @return the result
@@ -331,7 +339,7 @@
             return call.tryStart();
         } catch (RuntimeException | Error e) {
             mFailures.failed(FailedStep.DRAIN, call.request().id().value(), e);
-            throw e;
+            return Attempted.STARTED;
         }
     }
 
--- a/router/src/test/java/org/magnoliaseam/gateway/FailureIsolationTest.java
+++ b/router/src/test/java/org/magnoliaseam/gateway/FailureIsolationTest.java
@@ -10,10 +10,13 @@
 import static org.magnoliaseam.gateway.GatewayFixtures.server;
 
 import com.codahale.metrics.MetricRegistry;
+import java.util.List;
 import java.util.concurrent.atomic.AtomicLong;
+import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.magnoliaseam.catalog.RequestKind;
 import org.magnoliaseam.catalog.Route;
+import org.magnoliaseam.exchange.AnswerHead;
 
 /**
  * Tests that an unexpected failure is seen and ends no more than the request that it belongs to.
@@ -31,14 +34,14 @@
     private final ServerPool mPool =
             new ServerPool(OWN_DOMAIN, () -> GatewayFixtures.RETRIES, mNow::get);
 
-    private boolean mBroken;
+    private int mStartsToFail;
 
     private final Gateway mGateway =
             new Gateway(
                     new GatewayParts(
                             mPool,
                             (order, listener) -> {
-                                if (mBroken) {
+                                if (mStartsToFail-- > 0) {
                                     throw new IllegalStateException("cannot start");
                                 }
                                 return mBackend.start(order, listener);
@@ -56,7 +59,7 @@
     @Test
     void failedActionIsCounted() {
         mPool.publishedServers().add(server("desk-a", DESK, false));
-        mBroken = true;
+        mStartsToFail = 1;
         catchThrowable(() -> submit("r1"));
         assertThat(mMetrics.counter("gateway.failures.action").getCount()).isEqualTo(1);
     }
@@ -70,4 +73,27 @@
         mNow.set(5500 * MILLI);
         assertThat(mGateway.overdue()).isEqualTo(1);
     }
+
+    /** Tests that other requests go on. */
+    @Nested
+    class Others {
+        @Test
+        void waitingRequestThatCannotStartDoesNotStopTheQueue() {
+            mPool.publishedServers().add(server("desk-a", DESK, false, 1));
+            for (int i = 0; i < 4; i++) {
+                submit("r" + i);
+            }
+            assertThat(mBackend.mOrders).hasSize(1);
+            mStartsToFail = 1;
+            catchThrowable(() -> end(mBackend.last()));
+            mPool.publishedServers().add(server("desk-b", DESK, false, 1));
+            mGateway.tick();
+            assertThat(mBackend.mOrders).hasSizeGreaterThan(1);
+        }
+
+        private static void end(AttemptListener attempt) {
+            attempt.head(new AnswerHead(200, List.of()));
+            attempt.ended();
+        }
+    }
 }
--- a/router/src/test/java/org/magnoliaseam/gateway/GatewayFixtures.java
+++ b/router/src/test/java/org/magnoliaseam/gateway/GatewayFixtures.java
@@ -114,7 +114,7 @@
         return server(id, ENGINES, false, slots);
     }
 
-    private static ServerEntry server(String id, ServiceName service, boolean draining, int slots) {
+    static ServerEntry server(String id, ServiceName service, boolean draining, int slots) {
         return new ServerEntry(
                 new BackendServerId(id),
                 service,
