End each request at its deadline and with the process whatever the others do

Cause: Gateway.tick and Gateway.end went through the requests in one loop that the first exception ended; in the next check the same request threw again. An exception in the check of permits came before all of them.

Change: the check of permits and the step of each request are guarded on their own, counted as gateway.failures.tick and logged.

Tests: requestThatFailsDoesNotKeepTheOthersFromTheirDeadline and requestThatFailsDoesNotKeepTheOthersFromTheirEndWithTheProcess, with eight requests that throw and eight sound ones, were red before and are green.

--- a/router/src/main/java/org/magnoliaseam/gateway/Gateway.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/Gateway.java
@@ -4,9 +4,11 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.magnoliaseam.exchange.Cancellation;
+import org.magnoliaseam.failure.FailedStep;
 
 /** Serves the requests of callers until they have ended. Thread-safe. */
 public final class Gateway {
@@ -62,11 +64,23 @@
             return;
         }
         logOverdue();
-        mParts.permits().tick();
-        mCalls.forEach(GatewayCall::tick);
+        mParts.failures().guard(FailedStep.TICK, "", mParts.permits()::tick);
+        forEach(GatewayCall::tick);
         mParts.waiting().drain();
     }
 
+    /**
+     * Runs a step of each request in progress, whatever those of the others do.
+     *
+     * @param step the step
+     */
+    private void forEach(Consumer<GatewayCall> step) {
+        for (GatewayCall call : mCalls) {
+            String id = call.request().id().value();
+            mParts.failures().guard(FailedStep.TICK, id, () -> step.accept(call));
+        }
+    }
+
     /** Logs that requests are open well after their deadline, which only a failure explains. */
     private void logOverdue() {
         long now = mParts.clock().nanos();
@@ -117,7 +131,7 @@
 
     /** Ends the requests in progress with a final answer each, since the process ends. */
     public void end() {
-        mCalls.forEach(GatewayCall::processEnds);
+        forEach(GatewayCall::processEnds);
     }
 
     /** Closes idle connections to backend servers that are leaving; called periodically. */
--- a/router/src/test/java/org/magnoliaseam/gateway/FailureIsolationTest.java
+++ b/router/src/test/java/org/magnoliaseam/gateway/FailureIsolationTest.java
@@ -10,6 +10,7 @@
 import static org.magnoliaseam.gateway.GatewayFixtures.server;
 
 import com.codahale.metrics.MetricRegistry;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.atomic.AtomicLong;
 import org.junit.jupiter.api.Nested;
@@ -77,6 +78,31 @@
     /** Tests that other requests go on. */
     @Nested
     class Others {
+        private final List<RecordingSink> mSound = new ArrayList<>();
+
+        private void submitAll() {
+            mPool.publishedServers().add(server("desk-a", DESK, false));
+            for (int i = 0; i < 8; i++) {
+                submit("fails-" + i).mFails = true;
+                mSound.add(submit("sound-" + i));
+            }
+        }
+
+        @Test
+        void requestThatFailsDoesNotKeepTheOthersFromTheirDeadline() {
+            submitAll();
+            mNow.set(5000 * MILLI);
+            catchThrowable(mGateway::tick);
+            assertThat(mSound).allMatch(sink -> sink.mRefusal != null);
+        }
+
+        @Test
+        void requestThatFailsDoesNotKeepTheOthersFromTheirEndWithTheProcess() {
+            submitAll();
+            catchThrowable(mGateway::end);
+            assertThat(mSound).allMatch(sink -> sink.mRefusal != null);
+        }
+
         @Test
         void waitingRequestThatCannotStartDoesNotStopTheQueue() {
             mPool.publishedServers().add(server("desk-a", DESK, false, 1));
--- a/router/src/test/java/org/magnoliaseam/gateway/RecordingSink.java
+++ b/router/src/test/java/org/magnoliaseam/gateway/RecordingSink.java
@@ -15,6 +15,7 @@
     boolean mAborted;
     Refusal mRefusal;
     long mRetryAfterMillis;
+    boolean mFails;
 
     /** Completes once the caller has read what was written. */
     private CompletableFuture<Void> mRead = CompletableFuture.completedFuture(null);
@@ -54,6 +55,9 @@
 
     @Override
     public void refuse(Refusal refusal, long retryAfterMillis) {
+        if (mFails) {
+            throw new IllegalStateException("cannot refuse");
+        }
         mRefusal = refusal;
         mRetryAfterMillis = retryAfterMillis;
     }
