Pass each outcome of a permit on whatever the others do

Cause: EnginePermits.tick removed all late questions first and then called back in one loop, after the sends. The first exception skipped the rest, and no later check knew of them.

Change: each callback and each send is guarded on its own, counted as gateway.failures.permit and logged. A message that could not be sent counts as lost, which the protocol bears.

--- a/router/src/main/java/org/magnoliaseam/permit/EnginePermits.java
+++ b/router/src/main/java/org/magnoliaseam/permit/EnginePermits.java
@@ -147,7 +147,7 @@
             }
         }
         if (own == null) {
-            mSender.send(home, ask);
+            send(home, ask);
         } else {
             callback.accept(outcome(own));
         }
@@ -169,7 +169,7 @@
             }
         }
         if (home != null) {
-            mSender.send(home, done);
+            send(home, done);
         }
     }
 
@@ -196,7 +196,7 @@
         if (home == null) {
             done(done);
         } else {
-            mSender.send(home, release);
+            send(home, release);
         }
     }
 
@@ -216,7 +216,7 @@
                 return;
             }
         }
-        mSender.send(home, done);
+        send(home, done);
     }
 
     /**
@@ -231,7 +231,7 @@
             synchronized (this) {
                 reply = mLedger.ask(peer, ask, mClock.nanos());
             }
-            mSender.send(peer, reply);
+            send(peer, reply);
         } else if (message instanceof PermitMessage.Done done) {
             synchronized (this) {
                 mLedger.done(peer, done);
@@ -278,8 +278,8 @@
                 mLedger.renew(members.own(), own, now);
             }
         }
-        repeated.forEach(question -> mSender.send(question.home(), question.ask()));
-        renewals.forEach(mSender::send);
+        repeated.forEach(question -> send(question.home(), question.ask()));
+        renewals.forEach(this::send);
         late.forEach(question -> callBack(question, new PermitOutcome.Unknown()));
     }
 
@@ -304,18 +304,23 @@
     }
 
     /**
-     * Passes the outcome of a question on.
+     * Passes the outcome of a question on; a failure does not keep others from their outcome.
      *
      * @param question the question
      * @param outcome its outcome
      */
     private void callBack(Question question, PermitOutcome outcome) {
-        try {
-            question.callback().accept(outcome);
-        } catch (RuntimeException | Error e) {
-            mFailures.failed(FailedStep.PERMIT, "", e);
-            throw e;
-        }
+        mFailures.guard(FailedStep.PERMIT, "", () -> question.callback().accept(outcome));
+    }
+
+    /**
+     * Sends a message, which may be lost, so that a failure changes nothing for others.
+     *
+     * @param peer the receiver
+     * @param message the message
+     */
+    private void send(PeerEndpoint peer, PermitMessage message) {
+        mFailures.guard(FailedStep.PERMIT, "", () -> mSender.send(peer, message));
     }
 
     /**
--- a/router/src/test/java/org/magnoliaseam/permit/PermitTest.java
+++ b/router/src/test/java/org/magnoliaseam/permit/PermitTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
+import static org.assertj.core.api.Assertions.catchThrowable;
 
 import com.codahale.metrics.MetricRegistry;
 import java.io.IOException;
@@ -205,6 +206,28 @@
             assertThat(mOutcomes).anyMatch(PermitOutcome.Unknown.class::isInstance);
         }
 
+        @Test
+        void outcomeThatFailsDoesNotKeepTheOthersFromTheirOutcome() {
+            start();
+            mLossy = true;
+            for (int engine = 0; engine < 20; engine++) {
+                BackendServerId server = new BackendServerId("e" + engine);
+                boolean fails = engine % 2 == 0;
+                mVms.get(FIRST)
+                        .ask(
+                                new PermitMessage.Ask(engine, server, 0, 1, 1, 1, false),
+                                outcome -> {
+                                    mOutcomes.add(outcome);
+                                    if (fails && outcome instanceof PermitOutcome.Unknown) {
+                                        throw new IllegalStateException("fails");
+                                    }
+                                });
+            }
+            mNow.addAndGet(25 * MILLI);
+            catchThrowable(() -> mVms.get(FIRST).tick());
+            assertThat(mOutcomes).hasSize(20);
+        }
+
         @Test
         void answerThatComesLateIsIgnored() {
             start();
