End a request with a final answer whatever fails in it

An attempt that could not be started kept its room at the server for ever.

Cause: DeferredActions ran the actions of a decision in one loop that the first exception ended, among them the starts and cancellations behind it. A decision that threw left its actions to the next decision of the request and told nobody. A request counted as ended before it was removed and written to the log.

Change: DeferredActions runs each action whatever the others do, also those of a decision that throws. After such a decision, one for failures follows, which uses no decision that may have failed: it gives up the attempt in progress and ends the request: a stream that has begun is broken off, an answer in hand is delivered, otherwise the request is refused, as backend_failed (502) if it may have been sent and as internal (500) if not; neither says that it has not run. The same follows if an attempt throws while it asks for its permit or is sent; its room and permit are released. The account and the removal of an ended request are actions, so that neither depends on the other or on the answer.

Why it works: the periodic check, messages about permits and the drain reach a request only through these two paths.

--- a/router/src/main/java/org/magnoliaseam/gateway/CallAnswer.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/CallAnswer.java
@@ -2,8 +2,8 @@
 
 import java.nio.ByteBuffer;
 import java.util.Optional;
-import java.util.OptionalInt;
 import java.util.concurrent.CompletableFuture;
+import org.magnoliaseam.error.ErrorKind;
 import org.magnoliaseam.error.Refusal;
 import org.magnoliaseam.exchange.AnswerHead;
 
@@ -126,31 +126,34 @@
     }
 
     /**
-     * Passes the kept answer on if there is one and the caller has no part of another.
+     * Ends an incomplete answer: breaks it off if it has begun, passes the kept answer on if there
+     * is one, and refuses the request otherwise.
      *
-     * @return its status; empty if nothing was passed on
+     * @param kind what the caller is told
+     * @param retryAfterMillis the delay before the caller should come back, in milliseconds; 0 for
+     *     no advice
      */
-    OptionalInt deliverHeld() {
-        if (mBegun || mHeld.isEmpty()) {
-            return OptionalInt.empty();
+    void fail(ErrorKind kind, long retryAfterMillis) {
+        if (mBegun) {
+            mSink.breakOff();
+        } else if (mHeld.isPresent()) {
+            whole(mHeld.get().head(), mHeld.get().body());
+        } else {
+            mSink.refuse(Refusal.of(kind), retryAfterMillis);
         }
-        Held held = mHeld.get();
-        whole(held.head(), held.body());
-        return OptionalInt.of(held.head().status());
     }
 
     /**
-     * Ends an incomplete answer: breaks it off if it has begun, and refuses the request otherwise.
+     * Returns how a request ends whose answer is incomplete.
      *
-     * @param refusal what the caller is told
-     * @param retryAfterMillis the delay before the caller should come back, in milliseconds; 0 for
-     *     no advice
+     * @param kind what the caller is told
+     * @return the outcome for the log
      */
-    void fail(Refusal refusal, long retryAfterMillis) {
+    String outcome(ErrorKind kind) {
         if (mBegun) {
-            mSink.breakOff();
-        } else {
-            mSink.refuse(refusal, retryAfterMillis);
+            return "broken_off_" + kind.text();
         }
+        return mHeld.map(held -> "answered_" + held.head().status())
+                .orElse("refused_" + kind.text());
     }
 }
--- a/router/src/main/java/org/magnoliaseam/gateway/CallPlacement.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/CallPlacement.java
@@ -179,6 +179,19 @@
         return new GatewayAttempt(mCall, this, start, mParts, order);
     }
 
+    /**
+     * Runs a step of an attempt, without the lock. If it throws, the request and the attempt end.
+     *
+     * @param attempt the attempt
+     * @param step the step
+     */
+    void run(GatewayAttempt attempt, Runnable step) {
+        if (!mActions.run(step)) {
+            attempt.undo();
+            mParts.waiting().drain();
+        }
+    }
+
     /**
      * Tells whether the request is refused since it crashes backend servers.
      *
--- a/router/src/main/java/org/magnoliaseam/gateway/DeferredActions.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/DeferredActions.java
@@ -22,15 +22,20 @@
     /** The request. */
     private final RequestId mRequest;
 
+    /** Decides what follows if the request cannot go on; runs under the lock. */
+    private final Runnable mOnFailure;
+
     /**
      * Creates a lock without actions.
      *
      * @param failures logs unexpected failures
      * @param request the request
+     * @param onFailure decides what follows if the request cannot go on; runs under the lock
      */
-    DeferredActions(FailureLog failures, RequestId request) {
+    DeferredActions(FailureLog failures, RequestId request, Runnable onFailure) {
         mFailures = failures;
         mRequest = request;
+        mOnFailure = onFailure;
     }
 
     /**
@@ -44,36 +49,49 @@
 
     /**
      * Runs a decision under the lock, then its actions without it. The actions of a nested decision
-     * run after the outermost one.
+     * run after the outermost one. Each action runs whatever the others do; if a decision throws,
+     * the one for failures follows it.
      *
      * @param decision the decision
      */
     void decide(Runnable decision) {
-        boolean nested = Thread.holdsLock(this);
+        if (Thread.holdsLock(this)) {
+            decision.run();
+            return;
+        }
         List<Runnable> actions;
         synchronized (this) {
-            observe(FailedStep.DECISION, decision);
-            if (nested || mActions.isEmpty()) {
-                return;
+            if (!guard(FailedStep.DECISION, decision)) {
+                guard(FailedStep.DECISION, mOnFailure);
             }
             actions = List.copyOf(mActions);
             mActions.clear();
         }
-        actions.forEach(action -> observe(FailedStep.ACTION, action));
+        actions.forEach(action -> guard(FailedStep.ACTION, action));
     }
 
     /**
-     * Runs a step and logs its failure.
+     * Runs a step on which the rest of the request depends, without the lock.
+     *
+     * @param step the step; if it throws, the decision for failures follows
+     * @return false if it threw
+     */
+    boolean run(Runnable step) {
+        boolean done = guard(FailedStep.ACTION, step);
+        if (!done) {
+            decide(mOnFailure);
+        }
+        return done;
+    }
+
+    /**
+     * Runs a step.
      *
      * @param kind the kind of step
      * @param step the step
+     * @return false if it threw
      */
-    private void observe(FailedStep kind, Runnable step) {
-        try {
-            step.run();
-        } catch (RuntimeException | Error e) {
-            mFailures.failed(kind, mRequest.value(), e);
-            throw e;
-        }
+    private boolean guard(FailedStep kind, Runnable step) {
+        return mFailures.guard(kind, mRequest.value(), step);
     }
 }
--- a/router/src/main/java/org/magnoliaseam/gateway/GatewayAttempt.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/GatewayAttempt.java
@@ -84,8 +84,13 @@
         mProgress = new AttemptProgress(order.request().route(), mFeedback, parts.clock().nanos());
     }
 
-    /** Asks for the permit of an engine and sends the request. */
+    /** Starts the attempt. */
     void start() {
+        mPlacement.run(this, this::ask);
+    }
+
+    /** Asks for the permit of an engine and sends the request. */
+    private void ask() {
         if (!mStart.limits().areForEngine()) {
             proceed();
             return;
@@ -101,7 +106,7 @@
                                 mStart.limits().shared(),
                                 mStart.guarded(),
                                 mStart.entry().slots()),
-                        this::permitAnswered);
+                        outcome -> mPlacement.run(this, () -> permitAnswered(outcome)));
     }
 
     /**
@@ -136,9 +141,10 @@
         }
     }
 
-    /** Ends the attempt before it was sent. */
-    private void undo() {
+    /** Ends the attempt before it was sent, or after a failure of this entry VM. */
+    void undo() {
         if (markEnded()) {
+            mAnswer.release();
             mFeedback.ended();
         }
     }
@@ -328,7 +334,8 @@
             return;
         }
         mAnswer.release();
-        if (!mGivenUp && !mProgress.survived() && mayBeCrash(failure)) {
+        boolean mayBeCrash = failure.mayBeCrash() || failure == BackendFailure.INCOMPLETE;
+        if (!mGivenUp && !mProgress.survived() && mayBeCrash) {
             mFeedback.lost();
         }
         boolean cancelledHere = mGivenUp && failure == BackendFailure.INCOMPLETE;
@@ -341,16 +348,6 @@
         mParts.waiting().drain();
     }
 
-    /**
-     * Tells whether a failure may be the crash of the backend server.
-     *
-     * @param failure the failure
-     * @return true if the connection was lost, or the answer ended with it before its end
-     */
-    private static boolean mayBeCrash(BackendFailure failure) {
-        return failure.mayBeCrash() || failure == BackendFailure.INCOMPLETE;
-    }
-
     /** Records that the request has not crashed its backend server. */
     private void survived() {
         if (mProgress.survive()) {
--- a/router/src/main/java/org/magnoliaseam/gateway/GatewayCall.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/GatewayCall.java
@@ -1,13 +1,11 @@
 package org.magnoliaseam.gateway;
 
 import java.nio.ByteBuffer;
-import java.util.OptionalInt;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Consumer;
 import org.magnoliaseam.backend.BackendFailure;
 import org.magnoliaseam.error.ErrorKind;
-import org.magnoliaseam.error.Refusal;
 import org.magnoliaseam.exchange.AnswerHead;
 
 /** Serves one request with attempts until a complete answer, a refusal or the deadline. */
@@ -54,7 +52,7 @@
             GatewayParts parts,
             Consumer<GatewayCall> onEnd) {
         mRequest = request;
-        mActions = new DeferredActions(parts.failures(), request.id());
+        mActions = new DeferredActions(parts.failures(), request.id(), this::onUnexpected);
         mAnswer = new CallAnswer(sink, request.lastEventId());
         mParts = parts;
         mOnEnd = onEnd;
@@ -363,15 +361,22 @@
      * @param kind the error kind
      */
     private void fail(ErrorKind kind) {
-        OptionalInt held = mAnswer.deliverHeld();
-        if (held.isPresent()) {
-            end("answered_" + held.getAsInt());
-            return;
-        }
         ErrorKind reported = mPlacement.history().reported(kind);
         boolean ran = mPlacement.history().mayHaveBeenExecuted();
-        mAnswer.fail(Refusal.of(reported), ran ? 0 : mPlacement.waiting().retryAfterMillis());
-        end((mAnswer.begun() ? "broken_off_" : "refused_") + reported.text());
+        mAnswer.fail(reported, ran ? 0 : mPlacement.waiting().retryAfterMillis());
+        end(mAnswer.outcome(reported));
+    }
+
+    /** Ends the request after an unexpected failure, without what may have failed. */
+    private void onUnexpected() {
+        if (mEnded) {
+            return;
+        }
+        boolean ran = mPlacement.attempt() != null || mPlacement.history().mayHaveBeenExecuted();
+        ErrorKind kind = ran ? ErrorKind.BACKEND_FAILED : ErrorKind.INTERNAL;
+        giveUpRunning();
+        mActions.add(() -> mAnswer.fail(kind, 0));
+        end(mAnswer.outcome(kind));
     }
 
     /**
@@ -381,8 +386,9 @@
      */
     private void end(String outcome) {
         mEnded = true;
+        long now = mParts.clock().nanos();
+        mActions.add(() -> mParts.log().ended(mRecord, outcome, now));
+        mActions.add(() -> mOnEnd.accept(this));
         mPlacement.end();
-        mParts.log().ended(mRecord, outcome, mParts.clock().nanos());
-        mOnEnd.accept(this);
     }
 }
--- a/router/src/test/java/org/magnoliaseam/gateway/FailureIsolationTest.java
+++ b/router/src/test/java/org/magnoliaseam/gateway/FailureIsolationTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.catchThrowable;
 import static org.magnoliaseam.gateway.GatewayFixtures.DESK;
+import static org.magnoliaseam.gateway.GatewayFixtures.ENGINES;
 import static org.magnoliaseam.gateway.GatewayFixtures.MILLI;
 import static org.magnoliaseam.gateway.GatewayFixtures.OWN_DOMAIN;
 import static org.magnoliaseam.gateway.GatewayFixtures.request;
@@ -10,14 +11,21 @@
 import static org.magnoliaseam.gateway.GatewayFixtures.server;
 
 import com.codahale.metrics.MetricRegistry;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.atomic.AtomicLong;
+import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.magnoliaseam.backend.BackendFailure;
 import org.magnoliaseam.catalog.RequestKind;
 import org.magnoliaseam.catalog.Route;
+import org.magnoliaseam.error.ErrorKind;
 import org.magnoliaseam.exchange.AnswerHead;
+import org.magnoliaseam.model.BackendServerId;
 
 /**
  * Tests that an unexpected failure is seen and ends no more than the request that it belongs to.
@@ -32,11 +40,12 @@
 
     private final MetricRegistry mMetrics = new MetricRegistry();
 
-    private final ServerPool mPool =
-            new ServerPool(OWN_DOMAIN, () -> GatewayFixtures.RETRIES, mNow::get);
+    private final ServerPool mPool = new ServerPool(OWN_DOMAIN, this::retries, mNow::get);
 
     private int mStartsToFail;
 
+    private boolean mRetriesBroken;
+
     private final Gateway mGateway =
             new Gateway(
                     new GatewayParts(
@@ -51,6 +60,13 @@
                             new RequestLog(mMetrics),
                             mNow::get));
 
+    private RetryLimits retries() {
+        if (mRetriesBroken) {
+            throw new IllegalStateException("no limits");
+        }
+        return GatewayFixtures.RETRIES;
+    }
+
     private RecordingSink submit(String id) {
         RecordingSink sink = new RecordingSink();
         mGateway.submit(request(id, ROUTE, Prompt.NONE), sink);
@@ -75,6 +91,80 @@
         assertThat(mGateway.overdue()).isEqualTo(1);
     }
 
+    /** Tests requests that end with an answer although a step of theirs failed. */
+    @Nested
+    class FinalAnswer {
+        @BeforeEach
+        void publishServers() {
+            for (String id : List.of("a", "b")) {
+                mPool.publishedServers().add(server("engine-" + id, ENGINES, false));
+                mPool.publishedServers().add(server("desk-" + id, DESK, false));
+            }
+        }
+
+        @Test
+        void attemptThatCannotStartEndsItsRequestAtOnce() {
+            mStartsToFail = 1;
+            RecordingSink sink = new RecordingSink();
+            catchThrowable(() -> mGateway.submit(request("r1", ROUTE, Prompt.NONE), sink));
+            assertThat(sink.mRefusal.kind()).isEqualTo(ErrorKind.BACKEND_FAILED);
+            assertThat(mGateway.active()).isZero();
+        }
+
+        @Test
+        void attemptThatCannotStartLeavesItsRoom() {
+            mPool.publishedServers().add(server("desk-a", DESK, false, 1));
+            mPool.publishedServers().retain(Set.of(new BackendServerId("desk-a")));
+            mStartsToFail = 1;
+            catchThrowable(() -> submit("r1"));
+            submit("r2");
+            assertThat(mBackend.mOrders).hasSize(1);
+        }
+
+        @Test
+        void decisionThatFailsAfterAPossibleRunEndsItsRequestAsPossiblyRun() {
+            RecordingSink sink = submit("r1");
+            mRetriesBroken = true;
+            lose(BackendFailure.CONNECTION_LOST);
+            assertThat(sink.mRefusal.kind()).isEqualTo(ErrorKind.BACKEND_FAILED);
+            assertThat(mGateway.active()).isZero();
+        }
+
+        @Test
+        void decisionThatFailsBeforeARunEndsItsRequestAsInternal() {
+            RecordingSink sink = submit("r1");
+            mRetriesBroken = true;
+            lose(BackendFailure.NOT_SENT);
+            assertThat(sink.mRefusal.kind()).isEqualTo(ErrorKind.INTERNAL);
+        }
+
+        @Test
+        void decisionThatFailsBreaksAStreamOff() {
+            RecordingSink sink = new RecordingSink();
+            Route stream = route(RequestKind.STREAM, 2, true, 200);
+            mGateway.submit(request("r1", stream, Prompt.NONE), sink);
+            mBackend.last().head(new AnswerHead(200, List.of()));
+            byte[] event = "id: 1\ndata: x\n\n".getBytes(StandardCharsets.UTF_8);
+            mBackend.last().content(ByteBuffer.wrap(event));
+            mRetriesBroken = true;
+            lose(BackendFailure.CONNECTION_LOST);
+            assertThat(sink.mAborted).isTrue();
+            assertThat(sink.mRefusal).isNull();
+        }
+
+        @Test
+        void requestWhoseCallerCannotBeAnsweredDoesNotStayOpen() {
+            submit("r1").mFails = true;
+            mNow.set(5000 * MILLI);
+            catchThrowable(mGateway::tick);
+            assertThat(mGateway.active()).isZero();
+        }
+
+        private void lose(BackendFailure failure) {
+            catchThrowable(() -> mBackend.last().failed(failure, "lost"));
+        }
+    }
+
     /** Tests that other requests go on. */
     @Nested
     class Others {
