End a request whose attempt throws when it ends

Cause: GatewayAttempt.ended and failed mark the attempt as ended, then record the end at the server and only then call the request. The client for backend servers does not call again after an exception.

Change: both run as steps of the attempt, so that an exception ends the request with a final answer and is counted as gateway.failures.action. A step of an attempt that was replaced ends the request too.

Test: lostAttemptWhoseServerStateFailsEndsItsRequest was red before and is green; FailureIsolationTest, GatewayCallTest, SilentServerTest and CrashGuardCallTest pass.

--- a/router/src/main/java/org/magnoliaseam/gateway/GatewayAttempt.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/GatewayAttempt.java
@@ -124,8 +124,7 @@
         }
         if (outcome instanceof PermitOutcome.Granted granted) {
             mIdle = granted.waitingTokens() == 0;
-            long tokens = granted.waitingTokens() + mStart.uncachedTokens();
-            mFeedback.permitGranted(tokens);
+            mFeedback.permitGranted(granted.waitingTokens() + mStart.uncachedTokens());
         }
         proceed();
         mParts.waiting().drain();
@@ -303,49 +302,58 @@
 
     @Override
     public void ended() {
-        Optional<String> missing = mAnswer.missing();
-        if (missing.isPresent()) {
-            failed(BackendFailure.INCOMPLETE, missing.get());
-            return;
-        }
-        if (!markEnded()) {
-            return;
-        }
-        survived();
-        if (mPushedBack) {
-            mFeedback.ended();
-        } else if (mAnswer.isServerError()) {
-            mFeedback.failed(BackendFailure.SERVER_ERROR);
-        } else {
-            mFeedback.succeeded();
-        }
-        mParts.waiting().drain();
-        if (mAnswer.streamed()) {
-            mCall.streamEnded(this, mAnswer.head());
-        } else {
-            mCall.answered(this, mAnswer.head(), mAnswer.body());
-        }
-        mAnswer.release();
+        mPlacement.run(
+                this,
+                () -> {
+                    Optional<String> missing = mAnswer.missing();
+                    if (missing.isPresent()) {
+                        failed(BackendFailure.INCOMPLETE, missing.get());
+                        return;
+                    }
+                    if (!markEnded()) {
+                        return;
+                    }
+                    survived();
+                    if (mPushedBack) {
+                        mFeedback.ended();
+                    } else if (mAnswer.isServerError()) {
+                        mFeedback.failed(BackendFailure.SERVER_ERROR);
+                    } else {
+                        mFeedback.succeeded();
+                    }
+                    mParts.waiting().drain();
+                    if (mAnswer.streamed()) {
+                        mCall.streamEnded(this, mAnswer.head());
+                    } else {
+                        mCall.answered(this, mAnswer.head(), mAnswer.body());
+                    }
+                    mAnswer.release();
+                });
     }
 
     @Override
     public void failed(BackendFailure failure, String detail) {
-        if (!markEnded()) {
-            return;
-        }
-        mAnswer.release();
-        boolean mayBeCrash = failure.mayBeCrash() || failure == BackendFailure.INCOMPLETE;
-        if (!mGivenUp && !mProgress.survived() && mayBeCrash) {
-            mFeedback.lost();
-        }
-        boolean cancelledHere = mGivenUp && failure == BackendFailure.INCOMPLETE;
-        if (mPushedBack || cancelledHere) {
-            mFeedback.ended();
-        } else {
-            mFeedback.failed(failure);
-        }
-        mCall.failed(this, failure, mAnswer.overflowed() ? AttemptAnswer.TOO_LARGE : detail);
-        mParts.waiting().drain();
+        mPlacement.run(
+                this,
+                () -> {
+                    if (!markEnded()) {
+                        return;
+                    }
+                    mAnswer.release();
+                    boolean mayBeCrash =
+                            failure.mayBeCrash() || failure == BackendFailure.INCOMPLETE;
+                    if (!mGivenUp && !mProgress.survived() && mayBeCrash) {
+                        mFeedback.lost();
+                    }
+                    if (mPushedBack || mGivenUp && failure == BackendFailure.INCOMPLETE) {
+                        mFeedback.ended();
+                    } else {
+                        mFeedback.failed(failure);
+                    }
+                    mCall.failed(
+                            this, failure, mAnswer.overflowed() ? AttemptAnswer.TOO_LARGE : detail);
+                    mParts.waiting().drain();
+                });
     }
 
     /** Records that the request has not crashed its backend server. */
--- a/router/src/test/java/org/magnoliaseam/gateway/FailureIsolationTest.java
+++ b/router/src/test/java/org/magnoliaseam/gateway/FailureIsolationTest.java
@@ -152,6 +152,18 @@
             assertThat(sink.mRefusal).isNull();
         }
 
+        @Test
+        void lostAttemptWhoseServerStateFailsEndsItsRequest() {
+            RecordingSink sink = submit("r1");
+            mPool.crashes().observe(FinalAnswer::fail);
+            lose(BackendFailure.CONNECTION_LOST);
+            assertThat(sink.mRefusal.kind()).isEqualTo(ErrorKind.BACKEND_FAILED);
+        }
+
+        private static void fail() {
+            throw new IllegalStateException("cannot tell the others");
+        }
+
         @Test
         void requestWhoseCallerCannotBeAnsweredDoesNotStayOpen() {
             submit("r1").mFails = true;
