Keep receiving datagrams after an error in one of them

Cause: the loop of GossipNode that receives datagrams caught exceptions but no Error, which ended its thread. An Error in the periodic task ended that task as well, since the executor runs it no more. Exceptions there were logged at DEBUG only, and those of datagrams without a limit.

Change: both go on, and count and log what was thrown as gateway.failures.gossip, at most once a second.

Test: datagramThatFailsDoesNotEndTheReceptionOfOthers was red before and is green; GossipTest and FailureIsolationTest pass.

--- a/router/src/main/java/org/magnoliaseam/failure/FailedStep.java
+++ b/router/src/main/java/org/magnoliaseam/failure/FailedStep.java
@@ -13,7 +13,9 @@
     /** The periodic check of a request or of permits, or the end of a request with the process. */
     TICK,
     /** A message about permits, or what follows from its absence. */
-    PERMIT;
+    PERMIT,
+    /** A datagram of another entry VM, or a digest for the others. */
+    GOSSIP;
 
     /**
      * Returns the spelling in logs and metrics.
--- a/router/src/main/java/org/magnoliaseam/gateway/GatewayParts.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/GatewayParts.java
@@ -55,7 +55,7 @@
      * @param failures logs and counts unexpected failures
      * @param clock the clock
      */
-    private GatewayParts(
+    public GatewayParts(
             ServerPool pool,
             AttemptSender port,
             PermitSender peers,
--- a/router/src/main/java/org/magnoliaseam/gossip/GossipNode.java
+++ b/router/src/main/java/org/magnoliaseam/gossip/GossipNode.java
@@ -13,6 +13,8 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
+import org.magnoliaseam.failure.FailedStep;
+import org.magnoliaseam.failure.FailureLog;
 import org.magnoliaseam.time.MonotonicClock;
 
 /** Sends digests to the other entry VMs periodically and receives theirs. */
@@ -61,6 +63,9 @@
     /** Supplies and receives the content of digests. */
     private final GossipListener mListener;
 
+    /** Logs unexpected failures. */
+    private final FailureLog mFailures;
+
     /** The clock. */
     private final MonotonicClock mClock;
 
@@ -94,15 +99,18 @@
      * @param address the address of this entry VM
      * @param seeds the addresses of some entry VMs
      * @param listener supplies and receives the content of digests
+     * @param failures logs unexpected failures
      * @param clock the clock
      */
     public GossipNode(
             InetSocketAddress address,
             List<InetSocketAddress> seeds,
             GossipListener listener,
+            FailureLog failures,
             MonotonicClock clock) {
         mAddress = address;
         mListener = listener;
+        mFailures = failures;
         mClock = clock;
         mUnreadableNanos = clock.nanos() - UNREADABLE_LOG_NANOS;
         Random random = new Random();
@@ -169,8 +177,10 @@
         try {
             long now = mClock.nanos();
             sendDigest(mPeers.live(now).size(), now);
-        } catch (IOException | RuntimeException e) {
+        } catch (IOException e) {
             LOG.debug("gossip: could not send an early digest, cause={}", e.getMessage());
+        } catch (RuntimeException | Error e) {
+            mFailures.failed(FailedStep.GOSSIP, "", e);
         }
     }
 
@@ -184,8 +194,10 @@
                 mListener.members(mPeers.membership(now));
                 sendDigest(peers, now);
             }
-        } catch (IOException | RuntimeException e) {
+        } catch (IOException e) {
             LOG.debug("gossip: could not send a digest, cause={}", e.getMessage());
+        } catch (RuntimeException | Error e) {
+            mFailures.failed(FailedStep.GOSSIP, "", e);
         }
     }
 
@@ -254,8 +266,8 @@
                 }
             } catch (IOException e) {
                 unreadable(packet, e);
-            } catch (RuntimeException e) {
-                LOG.error("gossip: could not handle a datagram", e);
+            } catch (RuntimeException | Error e) {
+                mFailures.failed(FailedStep.GOSSIP, "", e);
             }
         }
     }
--- a/router/src/main/java/org/magnoliaseam/route/GatewayFactory.java
+++ b/router/src/main/java/org/magnoliaseam/route/GatewayFactory.java
@@ -14,6 +14,7 @@
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
 import org.magnoliaseam.caller.ObservedConnectionFactory;
 import org.magnoliaseam.catalog.Catalog;
+import org.magnoliaseam.failure.FailureLog;
 import org.magnoliaseam.gateway.CrashLog;
 import org.magnoliaseam.gateway.CurrentCatalog;
 import org.magnoliaseam.gateway.Gateway;
@@ -101,16 +102,19 @@
         ServerProtocol serverProtocol = new ServerProtocol(client, mClock);
         MetricRegistry metrics = new MetricRegistry();
         RequestLog log = new RequestLog(metrics);
+        FailureLog failures = new FailureLog(metrics, mClock);
         PublishedRevision published = new PublishedRevision();
         GossipNode gossip =
                 new GossipNode(
                         mSettings.peersAddress(),
                         mSettings.seeds(),
                         new PoolGossip(pool, published),
+                        failures,
                         mClock);
         pool.crashes().observe(gossip::hurry);
         GatewayParts parts =
-                new GatewayParts(pool, serverProtocol, new PermitDatagrams(gossip), log, mClock);
+                new GatewayParts(
+                        pool, serverProtocol, new PermitDatagrams(gossip), log, failures, mClock);
         Gateway gateway = new Gateway(parts);
         gauges(metrics, currentCatalog, pool, gateway);
         gauges(metrics, parts.permits());
--- a/router/src/test/java/org/magnoliaseam/gossip/EarlyDigestTest.java
+++ b/router/src/test/java/org/magnoliaseam/gossip/EarlyDigestTest.java
@@ -2,16 +2,19 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import com.codahale.metrics.MetricRegistry;
 import java.net.DatagramPacket;
 import java.net.DatagramSocket;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.Set;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
+import org.magnoliaseam.failure.FailureLog;
 import org.magnoliaseam.leaving.ServerIncarnation;
 import org.magnoliaseam.spillover.DomainDemand;
 import org.magnoliaseam.suspect.CrashNews;
@@ -84,6 +87,38 @@
         }
     }
 
+    private static GossipNode node(InetSocketAddress own, InetSocketAddress seed) {
+        return new GossipNode(
+                own,
+                List.of(seed),
+                new NewsListener(),
+                new FailureLog(new MetricRegistry(), System::nanoTime),
+                System::nanoTime);
+    }
+
+    @Test
+    void datagramThatFailsDoesNotEndTheReceptionOfOthers() throws Exception {
+        InetAddress host = InetAddress.getLoopbackAddress();
+        try (DatagramSocket peer = new DatagramSocket(0, host)) {
+            InetSocketAddress own;
+            try (DatagramSocket free = new DatagramSocket(0, host)) {
+                own = (InetSocketAddress) free.getLocalSocketAddress();
+            }
+            CountDownLatch received = new CountDownLatch(2);
+            GossipNode node = node(own, (InetSocketAddress) peer.getLocalSocketAddress());
+            node.start(
+                    new TimersWithoutPeriod(),
+                    (from, bytes, length) -> {
+                        received.countDown();
+                        throw new AssertionError("fails");
+                    });
+            peer.send(new DatagramPacket(new byte[1], 1, own));
+            peer.send(new DatagramPacket(new byte[1], 1, own));
+            assertThat(received.await(2, TimeUnit.SECONDS)).isTrue();
+            node.stop();
+        }
+    }
+
     @Test
     void newsOfACrashIsSentAtOnceAndOnceForThoseThatComeTogether() throws Exception {
         TimersWithoutPeriod timers = new TimersWithoutPeriod();
@@ -93,8 +128,7 @@
             try (DatagramSocket free = new DatagramSocket(0, InetAddress.getLoopbackAddress())) {
                 own = (InetSocketAddress) free.getLocalSocketAddress();
             }
-            GossipNode node =
-                    new GossipNode(own, List.of(seed), new NewsListener(), System::nanoTime);
+            GossipNode node = node(own, seed);
             node.hurry();
             node.start(timers, (from, bytes, length) -> false);
             node.hurry();
