--- a/router/src/main/java/org/magnoliaseam/gateway/AttemptProgress.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/AttemptProgress.java
@@ -1,6 +1,8 @@
 package org.magnoliaseam.gateway;
 
+import java.util.concurrent.CompletableFuture;
 import org.magnoliaseam.catalog.Route;
+import org.magnoliaseam.time.MonotonicClock;
 
 /** Tracks the arrival of the answer of one attempt. Written by one thread at a time. */
 final class AttemptProgress {
@@ -116,9 +118,18 @@
         return pause;
     }
 
-    /** Records that nothing is read until the caller has read the last event. */
-    void callerWaits() {
+    /**
+     * Stops the time of a silence until the caller has read the last event, since nothing is read
+     * from the backend server until then.
+     *
+     * @param written completes when the caller has read the event
+     * @param clock the clock
+     * @return the same future
+     */
+    CompletableFuture<Void> awaitCaller(CompletableFuture<Void> written, MonotonicClock clock) {
         mCallerWaits = true;
+        written.whenComplete((ignored, failure) -> callerRead(clock.nanos()));
+        return written;
     }
 
     /**
@@ -126,7 +137,7 @@
      *
      * @param nowNanos the local monotonic time
      */
-    void callerRead(long nowNanos) {
+    private void callerRead(long nowNanos) {
         mLastNanos = nowNanos;
         mSignNanos = nowNanos;
         mCallerWaits = false;
--- a/router/src/main/java/org/magnoliaseam/gateway/DeferredActions.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/DeferredActions.java
@@ -2,6 +2,9 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import org.magnoliaseam.failure.FailedStep;
+import org.magnoliaseam.failure.FailureLog;
+import org.magnoliaseam.model.RequestId;
 
 /**
  * Runs decisions under a lock and then, without the lock, the actions that they added. The client
@@ -13,6 +16,28 @@
     /** The actions added by the current decision, in order; guarded by this object. */
     private final List<Runnable> mActions = new ArrayList<>();
 
+    /** Logs unexpected failures. */
+    private final FailureLog mFailures;
+
+    /** The request. */
+    private final RequestId mRequest;
+
+    /** Decides what follows if the request cannot go on; runs under the lock. */
+    private final Runnable mOnFailure;
+
+    /**
+     * Creates a lock without actions.
+     *
+     * @param failures logs unexpected failures
+     * @param request the request
+     * @param onFailure decides what follows if the request cannot go on; runs under the lock
+     */
+    DeferredActions(FailureLog failures, RequestId request, Runnable onFailure) {
+        mFailures = failures;
+        mRequest = request;
+        mOnFailure = onFailure;
+    }
+
     /**
      * Adds an action that runs after the current decision, without the lock.
      *
@@ -24,21 +49,49 @@
 
     /**
      * Runs a decision under the lock, then its actions without it. The actions of a nested decision
-     * run after the outermost one.
+     * run after the outermost one. Each action runs whatever the others do; if a decision throws,
+     * the one for failures follows it.
      *
      * @param decision the decision
      */
     void decide(Runnable decision) {
-        boolean nested = Thread.holdsLock(this);
+        if (Thread.holdsLock(this)) {
+            decision.run();
+            return;
+        }
         List<Runnable> actions;
         synchronized (this) {
-            decision.run();
-            if (nested || mActions.isEmpty()) {
-                return;
+            if (!guard(FailedStep.DECISION, decision)) {
+                guard(FailedStep.DECISION, mOnFailure);
             }
             actions = List.copyOf(mActions);
             mActions.clear();
         }
-        actions.forEach(Runnable::run);
+        actions.forEach(action -> guard(FailedStep.ACTION, action));
+    }
+
+    /**
+     * Runs a step on which the rest of the request depends, without the lock.
+     *
+     * @param step the step; if it throws, the decision for failures follows
+     * @return false if it threw
+     */
+    boolean run(Runnable step) {
+        boolean done = guard(FailedStep.ACTION, step);
+        if (!done) {
+            decide(mOnFailure);
+        }
+        return done;
+    }
+
+    /**
+     * Runs a step.
+     *
+     * @param kind the kind of step
+     * @param step the step
+     * @return false if it threw
+     */
+    private boolean guard(FailedStep kind, Runnable step) {
+        return mFailures.guard(kind, mRequest.value(), step);
     }
 }
--- a/router/src/main/java/org/magnoliaseam/gateway/GatewayAttempt.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/GatewayAttempt.java
@@ -84,8 +84,13 @@
         mProgress = new AttemptProgress(order.request().route(), mFeedback, parts.clock().nanos());
     }
 
-    /** Asks for the permit of an engine and sends the request. */
+    /** Starts the attempt. */
     void start() {
+        mPlacement.run(this, this::ask);
+    }
+
+    /** Asks for the permit of an engine and sends the request. */
+    private void ask() {
         if (!mStart.limits().areForEngine()) {
             proceed();
             return;
@@ -101,7 +106,7 @@
                                 mStart.limits().shared(),
                                 mStart.guarded(),
                                 mStart.entry().slots()),
-                        this::permitAnswered);
+                        outcome -> mPlacement.run(this, () -> permitAnswered(outcome)));
     }
 
     /**
@@ -119,8 +124,7 @@
         }
         if (outcome instanceof PermitOutcome.Granted granted) {
             mIdle = granted.waitingTokens() == 0;
-            long tokens = granted.waitingTokens() + mStart.uncachedTokens();
-            mFeedback.permitGranted(tokens);
+            mFeedback.permitGranted(granted.waitingTokens() + mStart.uncachedTokens());
         }
         proceed();
         mParts.waiting().drain();
@@ -136,10 +140,11 @@
         }
     }
 
-    /** Ends the attempt before it was sent. */
-    private void undo() {
+    /** Ends the attempt before it was sent, or after a failure of this entry VM. */
+    void undo() {
         if (markEnded()) {
-            mFeedback.notSent();
+            mAnswer.release();
+            mFeedback.undone();
         }
     }
 
@@ -290,67 +295,65 @@
         }
         recordProgress();
         AttemptAnswer.Events complete = events.get();
-        mProgress.callerWaits();
         CompletableFuture<Void> written =
                 mCall.events(this, mAnswer.head(), complete.bytes(), complete.lastId());
-        written.whenComplete((ignored, failure) -> mProgress.callerRead(mParts.clock().nanos()));
-        return written;
+        return mProgress.awaitCaller(written, mParts.clock());
     }
 
     @Override
     public void ended() {
-        Optional<String> missing = mAnswer.missing();
-        if (missing.isPresent()) {
-            failed(BackendFailure.INCOMPLETE, missing.get());
-            return;
-        }
-        if (!markEnded()) {
-            return;
-        }
-        survived();
-        if (mPushedBack) {
-            mFeedback.ended();
-        } else if (mAnswer.isServerError()) {
-            mFeedback.failed(BackendFailure.SERVER_ERROR);
-        } else {
-            mFeedback.succeeded();
-        }
-        mParts.waiting().drain();
-        if (mAnswer.streamed()) {
-            mCall.streamEnded(this, mAnswer.head());
-        } else {
-            mCall.answered(this, mAnswer.head(), mAnswer.body());
-        }
-        mAnswer.release();
+        mPlacement.run(
+                this,
+                () -> {
+                    Optional<String> missing = mAnswer.missing();
+                    if (missing.isPresent()) {
+                        failed(BackendFailure.INCOMPLETE, missing.get());
+                        return;
+                    }
+                    if (!markEnded()) {
+                        return;
+                    }
+                    survived();
+                    if (mPushedBack) {
+                        mFeedback.ended();
+                    } else if (mAnswer.isServerError()) {
+                        mFeedback.failed(BackendFailure.SERVER_ERROR);
+                    } else {
+                        mFeedback.succeeded();
+                    }
+                    mParts.waiting().drain();
+                    if (mAnswer.streamed()) {
+                        mCall.streamEnded(this, mAnswer.head());
+                    } else {
+                        mCall.answered(this, mAnswer.head(), mAnswer.body());
+                    }
+                    mAnswer.release();
+                });
     }
 
     @Override
     public void failed(BackendFailure failure, String detail) {
-        if (!markEnded()) {
-            return;
-        }
-        mAnswer.release();
-        if (!mGivenUp && !mProgress.survived() && mayBeCrash(failure)) {
-            mFeedback.lost();
-        }
-        boolean cancelledHere = mGivenUp && failure == BackendFailure.INCOMPLETE;
-        if (mPushedBack || cancelledHere) {
-            mFeedback.ended();
-        } else {
-            mFeedback.failed(failure);
-        }
-        mCall.failed(this, failure, mAnswer.overflowed() ? AttemptAnswer.TOO_LARGE : detail);
-        mParts.waiting().drain();
-    }
-
-    /**
-     * Tells whether a failure may be the crash of the backend server.
-     *
-     * @param failure the failure
-     * @return true if the connection was lost, or the answer ended with it before its end
-     */
-    private static boolean mayBeCrash(BackendFailure failure) {
-        return failure.mayBeCrash() || failure == BackendFailure.INCOMPLETE;
+        mPlacement.run(
+                this,
+                () -> {
+                    if (!markEnded()) {
+                        return;
+                    }
+                    mAnswer.release();
+                    boolean mayBeCrash =
+                            failure.mayBeCrash() || failure == BackendFailure.INCOMPLETE;
+                    if (!mGivenUp && !mProgress.survived() && mayBeCrash) {
+                        mFeedback.lost();
+                    }
+                    if (mPushedBack || mGivenUp && failure == BackendFailure.INCOMPLETE) {
+                        mFeedback.ended();
+                    } else {
+                        mFeedback.failed(failure);
+                    }
+                    mCall.failed(
+                            this, failure, mAnswer.overflowed() ? AttemptAnswer.TOO_LARGE : detail);
+                    mParts.waiting().drain();
+                });
     }
 
     /** Records that the request has not crashed its backend server. */
--- a/router/src/main/java/org/magnoliaseam/gateway/ServerFeedback.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/ServerFeedback.java
@@ -348,11 +348,13 @@
         }
     }
 
-    /** Counts an attempt that ended before it was sent, which a cold start may admit again. */
-    void notSent() {
+    /** Counts an attempt that was undone; if it was not sent, a cold start admits another one. */
+    void undone() {
         synchronized (mPool) {
             end();
-            server().coldStart().notSent(mRequest.service(), mClock.nanos());
+            if (mSentNanos == 0) {
+                server().coldStart().notSent(mRequest.service(), mClock.nanos());
+            }
         }
     }
 
--- a/router/src/main/java/org/magnoliaseam/permit/EnginePermits.java
+++ b/router/src/main/java/org/magnoliaseam/permit/EnginePermits.java
@@ -8,6 +8,8 @@
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
+import org.magnoliaseam.failure.FailedStep;
+import org.magnoliaseam.failure.FailureLog;
 import org.magnoliaseam.gossip.Membership;
 import org.magnoliaseam.gossip.PeerEndpoint;
 import org.magnoliaseam.time.MonotonicClock;
@@ -33,6 +35,9 @@
     /** Provides the entry VMs that may be alive. */
     private final Supplier<Membership> mMembers;
 
+    /** Logs unexpected failures. */
+    private final FailureLog mFailures;
+
     /** The clock. */
     private final MonotonicClock mClock;
 
@@ -95,11 +100,17 @@
      *
      * @param sender sends messages to other entry VMs
      * @param members provides the entry VMs that may be alive
+     * @param failures logs unexpected failures
      * @param clock the clock
      */
-    public EnginePermits(PermitSender sender, Supplier<Membership> members, MonotonicClock clock) {
+    public EnginePermits(
+            PermitSender sender,
+            Supplier<Membership> members,
+            FailureLog failures,
+            MonotonicClock clock) {
         mSender = sender;
         mMembers = members;
+        mFailures = failures;
         mClock = clock;
     }
 
@@ -136,7 +147,7 @@
             }
         }
         if (own == null) {
-            mSender.send(home, ask);
+            send(home, ask);
         } else {
             callback.accept(outcome(own));
         }
@@ -158,7 +169,7 @@
             }
         }
         if (home != null) {
-            mSender.send(home, done);
+            send(home, done);
         }
     }
 
@@ -185,7 +196,7 @@
         if (home == null) {
             done(done);
         } else {
-            mSender.send(home, release);
+            send(home, release);
         }
     }
 
@@ -205,7 +216,7 @@
                 return;
             }
         }
-        mSender.send(home, done);
+        send(home, done);
     }
 
     /**
@@ -220,7 +231,7 @@
             synchronized (this) {
                 reply = mLedger.ask(peer, ask, mClock.nanos());
             }
-            mSender.send(peer, reply);
+            send(peer, reply);
         } else if (message instanceof PermitMessage.Done done) {
             synchronized (this) {
                 mLedger.done(peer, done);
@@ -267,9 +278,9 @@
                 mLedger.renew(members.own(), own, now);
             }
         }
-        repeated.forEach(question -> mSender.send(question.home(), question.ask()));
-        renewals.forEach(mSender::send);
-        late.forEach(question -> question.callback().accept(new PermitOutcome.Unknown()));
+        repeated.forEach(question -> send(question.home(), question.ask()));
+        renewals.forEach(this::send);
+        late.forEach(question -> callBack(question, new PermitOutcome.Unknown()));
     }
 
     /**
@@ -288,10 +299,30 @@
             }
         }
         if (question != null) {
-            question.callback().accept(outcome(reply));
+            callBack(question, outcome(reply));
         }
     }
 
+    /**
+     * Passes the outcome of a question on; a failure does not keep others from their outcome.
+     *
+     * @param question the question
+     * @param outcome its outcome
+     */
+    private void callBack(Question question, PermitOutcome outcome) {
+        mFailures.guard(FailedStep.PERMIT, "", () -> question.callback().accept(outcome));
+    }
+
+    /**
+     * Sends a message, which may be lost, so that a failure changes nothing for others.
+     *
+     * @param peer the receiver
+     * @param message the message
+     */
+    private void send(PeerEndpoint peer, PermitMessage message) {
+        mFailures.guard(FailedStep.PERMIT, "", () -> mSender.send(peer, message));
+    }
+
     /**
      * Records which home granted a permit.
      *
--- a/router/src/test/java/org/magnoliaseam/gateway/LostSuccessorTest.java
+++ b/router/src/test/java/org/magnoliaseam/gateway/LostSuccessorTest.java
@@ -17,6 +17,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalInt;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicLong;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -25,6 +26,7 @@
 import org.magnoliaseam.catalog.RequestKind;
 import org.magnoliaseam.catalog.Route;
 import org.magnoliaseam.catalog.ServerEntry;
+import org.magnoliaseam.error.Refusal;
 import org.magnoliaseam.exchange.AnswerHead;
 import org.magnoliaseam.model.ClientAccountId;
 import org.magnoliaseam.model.RequestId;
@@ -285,4 +287,65 @@
                     mNow.get() + 5000 * MILLI);
         }
     }
+
+    /** Tests that a request whose answer cannot be written costs the others nothing. */
+    @Nested
+    class Unwritable {
+        @Test
+        void failureToRefuseOneRequestDoesNotKeepOthersFromTheirAnswers() {
+            publish(server("a", DESK, false));
+            RecordingSink[] sinks = new RecordingSink[8];
+            for (int i = 0; i < sinks.length; i++) {
+                sinks[i] = new RecordingSink();
+                submit("r" + i, RequestKind.REPEATABLE, 1, sinks[i]);
+            }
+            submit("bad", RequestKind.REPEATABLE, 1, new ThrowingSink());
+            for (int i = 0; i < 3; i++) {
+                try {
+                    pass(5001 * MILLI);
+                } catch (IllegalStateException e) {
+                    assertThat(e).hasMessage("cannot be written");
+                }
+            }
+            assertThat(sinks).allMatch(sink -> sink.mRefusal != null);
+        }
+    }
+
+    /** Fails to write anything. */
+    private static final class ThrowingSink implements GatewaySink {
+        @Override
+        public void head(AnswerHead head) {
+            throw new IllegalStateException("cannot be written");
+        }
+
+        @Override
+        public CompletableFuture<Void> write(ByteBuffer bytes) {
+            throw new IllegalStateException("cannot be written");
+        }
+
+        @Override
+        public void end() {
+            throw new IllegalStateException("cannot be written");
+        }
+
+        @Override
+        public void endWith(ByteBuffer last) {
+            throw new IllegalStateException("cannot be written");
+        }
+
+        @Override
+        public void refuse(Refusal refusal) {
+            throw new IllegalStateException("cannot be written");
+        }
+
+        @Override
+        public void refuse(Refusal refusal, long retryAfterMillis) {
+            throw new IllegalStateException("cannot be written");
+        }
+
+        @Override
+        public void breakOff() {
+            throw new IllegalStateException("cannot be written");
+        }
+    }
 }
--- a/router/src/test/java/org/magnoliaseam/permit/PermitTest.java
+++ b/router/src/test/java/org/magnoliaseam/permit/PermitTest.java
@@ -2,7 +2,9 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
+import static org.assertj.core.api.Assertions.catchThrowable;
 
+import com.codahale.metrics.MetricRegistry;
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -13,6 +15,7 @@
 import java.util.concurrent.atomic.AtomicLong;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.magnoliaseam.failure.FailureLog;
 import org.magnoliaseam.gossip.Membership;
 import org.magnoliaseam.gossip.PeerEndpoint;
 import org.magnoliaseam.model.BackendServerId;
@@ -157,6 +160,7 @@
                         }
                     },
                     () -> members,
+                    new FailureLog(new MetricRegistry(), mNow::get),
                     mNow::get);
         }
 
@@ -202,6 +206,28 @@
             assertThat(mOutcomes).anyMatch(PermitOutcome.Unknown.class::isInstance);
         }
 
+        @Test
+        void outcomeThatFailsDoesNotKeepTheOthersFromTheirOutcome() {
+            start();
+            mLossy = true;
+            for (int engine = 0; engine < 20; engine++) {
+                BackendServerId server = new BackendServerId("e" + engine);
+                boolean fails = engine % 2 == 0;
+                mVms.get(FIRST)
+                        .ask(
+                                new PermitMessage.Ask(engine, server, 0, 1, 1, 1, false),
+                                outcome -> {
+                                    mOutcomes.add(outcome);
+                                    if (fails && outcome instanceof PermitOutcome.Unknown) {
+                                        throw new IllegalStateException("fails");
+                                    }
+                                });
+            }
+            mNow.addAndGet(25 * MILLI);
+            catchThrowable(() -> mVms.get(FIRST).tick());
+            assertThat(mOutcomes).hasSize(20);
+        }
+
         @Test
         void answerThatComesLateIsIgnored() {
             start();
