Tell which connections end without an answer, and changes of the catalog

An account has catalog_end if the version in force at its end differs. Nothing reports `exception` yet.

--- a/router/src/main/java/org/magnoliaseam/caller/ObservedConnectionFactory.java
+++ b/router/src/main/java/org/magnoliaseam/caller/ObservedConnectionFactory.java
@@ -3,6 +3,7 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import org.eclipse.jetty.http.HttpFields;
+import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.io.Connection;
 import org.eclipse.jetty.io.Content;
 import org.eclipse.jetty.io.EndPoint;
@@ -24,6 +25,9 @@
     /** The clock. */
     private final MonotonicClock mClock;
 
+    /** Counts the connections that end without an answer. */
+    private final ConnectionNotices mNotices;
+
     /** The open connections. */
     private final Set<ObservedEndPoint> mOpen = ConcurrentHashMap.newKeySet();
 
@@ -39,6 +43,7 @@
         super(configuration);
         mReceiveLimitMillis = receiveLimitMillis;
         mClock = clock;
+        mNotices = new ConnectionNotices(clock);
         getHttpConfiguration().addCustomizer(ObservedConnectionFactory::observeBody);
     }
 
@@ -81,7 +86,10 @@
         if (!(endPoint instanceof ObservedEndPoint observed)) {
             return request;
         }
-        Request.addCompletionListener(request, failure -> observed.received());
+        boolean hasBody =
+                request.getHeaders().contains(HttpHeader.TRANSFER_ENCODING)
+                        || request.getHeaders().getLongField(HttpHeader.CONTENT_LENGTH) > 0;
+        Request.addCompletionListener(request, failure -> observed.answered(hasBody));
         return new ObservedRequest(request, observed);
     }
 
@@ -89,7 +97,7 @@
     public Connection newConnection(Connector connector, EndPoint endPoint) {
         ObservedEndPoint observed =
                 new ObservedEndPoint(
-                        endPoint, connector.getExecutor(), mReceiveLimitMillis, mClock);
+                        endPoint, connector.getExecutor(), mReceiveLimitMillis, mNotices, mClock);
         Connection connection = super.newConnection(connector, observed);
         connection.addEventListener(
                 new Connection.Listener() {
@@ -106,6 +114,15 @@
         return connection;
     }
 
+    /**
+     * Returns the notices of connections that ended without an answer.
+     *
+     * @return the notices of all connections
+     */
+    public ConnectionNotices notices() {
+        return mNotices;
+    }
+
     /**
      * Closes the connections on which no request is received or in progress.
      *
--- a/router/src/main/java/org/magnoliaseam/caller/ObservedEndPoint.java
+++ b/router/src/main/java/org/magnoliaseam/caller/ObservedEndPoint.java
@@ -33,6 +33,9 @@
     /** The time limit for receiving a request, in nanoseconds. */
     private final long mReceiveLimitNanos;
 
+    /** Counts the connections that end without an answer. */
+    private final ConnectionNotices mNotices;
+
     /** The clock. */
     private final MonotonicClock mClock;
 
@@ -66,14 +69,20 @@
      * @param endPoint the end point to wrap
      * @param executor runs the callbacks of the connection
      * @param receiveLimitMillis the time limit for receiving a request, in milliseconds
+     * @param notices counts the connections that end without an answer
      * @param clock the clock
      */
     ObservedEndPoint(
-            EndPoint endPoint, Executor executor, long receiveLimitMillis, MonotonicClock clock) {
+            EndPoint endPoint,
+            Executor executor,
+            long receiveLimitMillis,
+            ConnectionNotices notices,
+            MonotonicClock clock) {
         super(endPoint);
         mEndPoint = endPoint;
         mExecutor = executor;
         mReceiveLimitNanos = TimeUnit.MILLISECONDS.toNanos(receiveLimitMillis);
+        mNotices = notices;
         mClock = clock;
     }
 
@@ -100,7 +109,19 @@
         mOnClosed = null;
     }
 
-    /** Ends the time limit for a request that has been received whole or was answered. */
+    /**
+     * Ends the time limit for a request that has been answered, and notes an unread body.
+     *
+     * @param hasBody whether the request has a body
+     */
+    synchronized void answered(boolean hasBody) {
+        if (mReceiving && hasBody) {
+            mNotices.ended(UnansweredEnd.UNREAD_BODY, null);
+        }
+        mReceiving = false;
+    }
+
+    /** Ends the time limit for a request that has been received whole. */
     synchronized void received() {
         mReceiving = false;
     }
@@ -158,6 +179,7 @@
             mReceivingSinceNanos = now;
         } else if (now - mReceivingSinceNanos > mReceiveLimitNanos) {
             mEndOfInput = true;
+            mNotices.ended(UnansweredEnd.RECEIVE_LIMIT, null);
         }
         return !mEndOfInput;
     }
@@ -235,12 +257,17 @@
      */
     private void readFailed(Throwable cause) {
         Callback readCallback;
+        boolean receiving;
         synchronized (this) {
             mRegistered = false;
             readCallback = mReadCallback;
             mReadCallback = null;
+            receiving = mReceiving;
         }
         if (readCallback != null) {
+            if (receiving && cause instanceof TimeoutException) {
+                mNotices.ended(UnansweredEnd.IDLE, null);
+            }
             readCallback.failed(cause);
         } else if (cause instanceof TimeoutException) {
             register();
--- a/router/src/main/java/org/magnoliaseam/gateway/AccountText.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/AccountText.java
@@ -49,6 +49,9 @@
                 line.path("priority").asInt(),
                 line.path("prompt_tokens").asInt(),
                 line.path("pause_ms").asLong());
+        if (line.has("catalog_end")) {
+            append(text, "Catalog version at the end: %d.", line.path("catalog_end").asLong());
+        }
         line.path("steps").forEach(step -> append(text, "%s", step(step)));
         return Optional.of(text.toString().stripTrailing());
     }
--- a/router/src/main/java/org/magnoliaseam/gateway/RequestLog.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/RequestLog.java
@@ -4,7 +4,9 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 
@@ -26,13 +28,27 @@
     /** The counters and timers of requests. */
     private final MetricRegistry mMetrics;
 
+    /** Returns the version of the catalog in force; empty if it is not known. */
+    private final Supplier<Optional<Long>> mCatalogVersion;
+
     /**
      * Creates a log.
      *
      * @param metrics holds the counters and timers of requests
      */
     public RequestLog(MetricRegistry metrics) {
+        this(metrics, Optional::empty);
+    }
+
+    /**
+     * Creates a log that tells whether the catalog changed during a request.
+     *
+     * @param metrics holds the counters and timers of requests
+     * @param catalogVersion returns the version of the catalog in force; empty if it is not known
+     */
+    public RequestLog(MetricRegistry metrics, Supplier<Optional<Long>> catalogVersion) {
         mMetrics = metrics;
+        mCatalogVersion = catalogVersion;
     }
 
     /**
@@ -51,6 +67,10 @@
         line.put("route", request.route().name());
         line.put("account", request.accountName());
         line.put("catalog", request.catalogVersion());
+        mCatalogVersion
+                .get()
+                .filter(version -> version != request.catalogVersion())
+                .ifPresent(version -> line.put("catalog_end", version));
         line.put("priority", request.priority());
         line.put("prompt_tokens", request.prompt().tokens());
         line.put("target_ms", request.route().targetMillis());
--- a/router/src/main/java/org/magnoliaseam/route/GatewayFactory.java
+++ b/router/src/main/java/org/magnoliaseam/route/GatewayFactory.java
@@ -12,7 +12,9 @@
 import org.eclipse.jetty.server.HttpConnectionFactory;
 import org.eclipse.jetty.server.Server;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
+import org.magnoliaseam.caller.ConnectionNotices;
 import org.magnoliaseam.caller.ObservedConnectionFactory;
+import org.magnoliaseam.caller.UnansweredEnd;
 import org.magnoliaseam.catalog.Catalog;
 import org.magnoliaseam.gateway.CrashLog;
 import org.magnoliaseam.gateway.CurrentCatalog;
@@ -100,7 +102,8 @@
         HttpClient client = client();
         ServerProtocol serverProtocol = new ServerProtocol(client, mClock);
         MetricRegistry metrics = new MetricRegistry();
-        RequestLog log = new RequestLog(metrics);
+        RequestLog log =
+                new RequestLog(metrics, () -> currentCatalog.catalog().map(Catalog::version));
         PublishedRevision published = new PublishedRevision();
         GossipNode gossip =
                 new GossipNode(
@@ -114,6 +117,7 @@
         Gateway gateway = new Gateway(parts);
         gauges(metrics, currentCatalog, pool, gateway);
         gauges(metrics, parts.permits());
+        gauges(metrics, mConnections.notices());
         PlatformFeed feed =
                 new PlatformFeed(
                         mSettings,
@@ -183,6 +187,19 @@
         metrics.registerGauge("gateway.slots.refused", permits::slotRefusals);
     }
 
+    /**
+     * Registers the gauges of the connections of callers that ended without an answer.
+     *
+     * @param metrics the registry for the gauges
+     * @param notices the notices of the connections
+     */
+    private static void gauges(MetricRegistry metrics, ConnectionNotices notices) {
+        for (UnansweredEnd reason : UnansweredEnd.values()) {
+            metrics.registerGauge(
+                    "callers.unanswered." + reason.text(), () -> notices.count(reason));
+        }
+    }
+
     /**
      * Registers the gauges of the process.
      *
--- a/router/src/test/java/org/magnoliaseam/caller/ObservedEndPointTest.java
+++ b/router/src/test/java/org/magnoliaseam/caller/ObservedEndPointTest.java
@@ -31,7 +31,12 @@
     private final HeldEndPoint mSocket = new HeldEndPoint();
 
     private final ObservedEndPoint mObserved =
-            new ObservedEndPoint(mSocket, mExecutor, RECEIVE_LIMIT_MILLIS, System::nanoTime);
+            new ObservedEndPoint(
+                    mSocket,
+                    mExecutor,
+                    RECEIVE_LIMIT_MILLIS,
+                    new ConnectionNotices(System::nanoTime),
+                    System::nanoTime);
 
     private final StringBuffer mReceived = new StringBuffer();
 
--- a/router/src/test/java/org/magnoliaseam/gateway/AccountTextTest.java
+++ b/router/src/test/java/org/magnoliaseam/gateway/AccountTextTest.java
@@ -41,6 +41,13 @@
                         "    300.0 ms  a: of_a_later_version");
     }
 
+    @Test
+    void changeOfTheCatalogDuringTheRequestIsExplained() throws IOException {
+        String changed = ACCOUNT.replace("\"catalog\":7", "\"catalog\":7,\"catalog_end\":9");
+        assertThat(AccountText.render(json(changed)).orElseThrow().lines())
+                .contains("Catalog version at the end: 9.");
+    }
+
     @Test
     void otherLinesAreNoAccounts() throws IOException {
         assertThat(AccountText.render(json("{\"part\":\"board\"}"))).isEmpty();
