Do not count line ends between two requests as the start of the next one

What callers would see: a caller that sends an empty line after a request (it may, RFC 9112, 2.2) and its next request more than 10 s later has that connection closed without an answer.

Cause: the time limit for receiving a request began with any byte. The line end was read ahead while the request was in progress, or read after its answer, and began the limit of a request that had not begun.

Evidence: PausedCallerTest, before the change: EMPTY_LINE_DURING_WORK, EMPTY_LINE_LATER and EMPTY_LINE_FIRST closed without an answer, with the line reason=receive_limit; the other 8 cases (a body in a later packet, trailers later, pipelined requests whole, during work and in parts, an empty line in the packet of the request) were green, which rules them out.

Change: the first other byte after line ends starts the limit anew. Line ends without an end still end the input after the limit (EndlessRequestTest).

Tests: PausedCallerTest, ObservedEndPointTest, EndlessRequestTest, KeptConnectionTest green.

--- a/router/src/main/java/org/magnoliaseam/caller/ObservedEndPoint.java
+++ b/router/src/main/java/org/magnoliaseam/caller/ObservedEndPoint.java
@@ -57,6 +57,9 @@
     /** Whether a part of a request has been received, but not all of it. */
     private boolean mReceiving;
 
+    /** Whether that part consists of line ends, which may also come between two requests. */
+    private boolean mOnlyLineEnds;
+
     /** The local monotonic time at which the first part of the request was received. */
     private long mReceivingSinceNanos;
 
@@ -132,7 +135,7 @@
      * @return false while a request is received or in progress
      */
     synchronized boolean isIdle() {
-        return mReadCallback != null && !mReceiving;
+        return mReadCallback != null && (!mReceiving || mOnlyLineEnds);
     }
 
     @Override
@@ -142,7 +145,7 @@
                 int position = BufferUtil.flipToFill(buffer);
                 int moved = BufferUtil.put(mBuffered, buffer);
                 BufferUtil.flipToFlush(buffer, position);
-                countReceived(moved);
+                countReceived(buffer, moved);
                 return moved;
             }
             if (mEndOfInput) {
@@ -159,23 +162,26 @@
         } finally {
             endRead();
         }
-        return countReceived(filled) ? filled : -1;
+        return countReceived(buffer, filled) ? filled : -1;
     }
 
     /**
      * Starts the time limit for receiving a request with its first bytes, and ends the input when
-     * bytes are received after the limit.
+     * bytes are received after the limit. Line ends before a request do not belong to it.
      *
+     * @param buffer the buffer that ends with the bytes received
      * @param count the number of bytes received
      * @return false if the limit has passed
      */
-    private synchronized boolean countReceived(int count) {
+    private synchronized boolean countReceived(ByteBuffer buffer, int count) {
         if (count <= 0) {
             return true;
         }
         long now = mClock.nanos();
-        if (!mReceiving) {
+        boolean onlyLineEnds = (!mReceiving || mOnlyLineEnds) && isLineEnds(buffer, count);
+        if (!mReceiving || mOnlyLineEnds && !onlyLineEnds) {
             mReceiving = true;
+            mOnlyLineEnds = onlyLineEnds;
             mReceivingSinceNanos = now;
         } else if (now - mReceivingSinceNanos > mReceiveLimitNanos) {
             mEndOfInput = true;
@@ -184,6 +190,22 @@
         return !mEndOfInput;
     }
 
+    /**
+     * Tells whether the last bytes of a buffer are line ends.
+     *
+     * @param buffer the buffer
+     * @param count the number of bytes
+     * @return true if there are no others among them
+     */
+    private static boolean isLineEnds(ByteBuffer buffer, int count) {
+        for (int i = buffer.limit() - count; i < buffer.limit(); i++) {
+            if (buffer.get(i) != '\r' && buffer.get(i) != '\n') {
+                return false;
+            }
+        }
+        return true;
+    }
+
     @Override
     public void fillInterested(Callback callback) {
         boolean ready;
