Read the body of a refused request, so that its caller gets the refusal

What callers would see: a request that is refused by its head (401, 404, 503: a route or key of a configuration that is not in force yet or any more, no configuration, a planned stop) while its body is still on the way gets neither an answer nor a refusal: the write of the body fails with a broken pipe. A body above the published limit is the same (413).

Cause: the refusal was written at once. Jetty then finds that the body has not arrived and closes the connection, without `Connection: close` in the answer. Bytes that arrive at a closed socket reset the connection, and the caller's side drops the answer that it has not read.

Evidence: RefusedCallerTest before the change, 5 ways to delay a body x 404 and 503: all 10 end with `Broken pipe`; the line reason=unread_body for each. With the whole body in the packet of the head the answer came (both cases differ only by the count of unread_body).

Change: the body of a refused request is read and dropped, up to 4 MiB and 10 s, and the refusal is written then. The same holds for a body above its limit. No body is kept in memory beyond the limit.

Tests: RefusedCallerTest (12 cases), PausedCallerTest, EndlessRequestTest, KeptConnectionTest green.

--- a/router/src/main/java/org/magnoliaseam/caller/BodyReader.java
+++ b/router/src/main/java/org/magnoliaseam/caller/BodyReader.java
@@ -9,9 +9,16 @@
 import org.magnoliaseam.error.Result;
 import org.magnoliaseam.time.MonotonicClock;
 
-/** Reads a request body within a size limit and a time limit, without blocking a thread. */
+/**
+ * Reads a request body within a size limit and a time limit, without blocking a thread. A body that
+ * is larger is read to its end and dropped, since the caller may lose the answer if its connection
+ * ends while it sends.
+ */
 public final class BodyReader {
 
+    /** The largest number of bytes that are dropped, in bytes. */
+    private static final int MAX_DROPPED_BYTES = 4 * 1024 * 1024;
+
     /** The source of the body. */
     private final Content.Source mSource;
 
@@ -27,9 +34,12 @@
     /** Receives the body or the refusal. */
     private final Consumer<Result<byte[], Refusal>> mDone;
 
-    /** The bytes received so far. */
+    /** The bytes received so far, up to the size limit. */
     private final ByteArrayOutputStream mBytes = new ByteArrayOutputStream();
 
+    /** The number of bytes beyond the size limit. */
+    private int mDropped;
+
     /**
      * Creates a reader.
      *
@@ -66,31 +76,31 @@
             }
             boolean last = chunk.isLast();
             append(chunk);
-            if (mBytes.size() > mMaxBytes) {
-                refuse(ErrorKind.BODY_TOO_LARGE);
-                return;
-            }
             if (last) {
-                mDone.accept(Result.ok(mBytes.toByteArray()));
+                mDone.accept(
+                        mDropped > 0
+                                ? Result.err(Refusal.of(ErrorKind.BODY_TOO_LARGE))
+                                : Result.ok(mBytes.toByteArray()));
                 return;
             }
-            if (mClock.nanos() - mDeadlineNanos > 0) {
-                refuse(ErrorKind.BODY_TIMEOUT);
+            boolean late = mClock.nanos() - mDeadlineNanos > 0;
+            if (late || mDropped > MAX_DROPPED_BYTES) {
+                refuse(mDropped > 0 ? ErrorKind.BODY_TOO_LARGE : ErrorKind.BODY_TIMEOUT);
                 return;
             }
         }
     }
 
     /**
-     * Appends the bytes of a chunk, up to one byte beyond the size limit.
+     * Appends the bytes of a chunk up to the size limit and drops the others.
      *
      * @param chunk the chunk
      */
     private void append(Content.Chunk chunk) {
         ByteBuffer bytes = chunk.getByteBuffer();
-        int room = Math.min(bytes.remaining(), mMaxBytes + 1 - mBytes.size());
-        byte[] copy = new byte[Math.max(0, room)];
+        byte[] copy = new byte[Math.min(bytes.remaining(), mMaxBytes - mBytes.size())];
         bytes.get(copy);
+        mDropped += bytes.remaining();
         mBytes.write(copy, 0, copy.length);
         chunk.release();
     }
--- a/router/src/main/java/org/magnoliaseam/platform/CallerProtocol.java
+++ b/router/src/main/java/org/magnoliaseam/platform/CallerProtocol.java
@@ -5,6 +5,7 @@
 import java.util.Locale;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import org.eclipse.jetty.http.HttpField;
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpHeader;
@@ -100,46 +101,84 @@
         Optional<RequestId> sentId = id(request.getHeaders());
         RequestId id = sentId.orElse(NO_ID);
         CallerResponse answer = new CallerResponse(response, callback, id);
-        if (mShutdown.closed()) {
-            answer.refuse(Refusal.of(ErrorKind.LEAVING), LEAVING_RETRY_AFTER_MILLIS);
+        Result<Match, Denial> match = admit(request, sentId);
+        if (match instanceof Result.Err<Match, Denial> err) {
+            Denial denial = err.error();
+            Runnable deny = () -> answer.refuse(denial.refusal(), denial.retryAfterMillis());
+            read(request, 0, arrived, body -> deny.run());
             return true;
         }
+        Match found = ((Result.Ok<Match, Denial>) match).value();
+        read(
+                request,
+                found.catalog().limits().maxBodyBytes(),
+                arrived,
+                body ->
+                        body.fold(
+                                bytes -> {
+                                    submit(
+                                            gatewayRequest(request, id, found, bytes, arrived),
+                                            answer,
+                                            endPoint);
+                                    return null;
+                                },
+                                refusal -> {
+                                    answer.refuse(refusal, RETRY_AFTER_MILLIS);
+                                    return null;
+                                }));
+        return true;
+    }
+
+    /**
+     * Reads the body of a request, also if the request is refused: the caller may lose an answer
+     * that is sent while its body arrives.
+     *
+     * @param request the request
+     * @param maxBytes the largest accepted size in bytes
+     * @param arrivedNanos the local monotonic time of arrival
+     * @param done receives the body, or why there is none
+     */
+    private void read(
+            Request request,
+            int maxBytes,
+            long arrivedNanos,
+            Consumer<Result<byte[], Refusal>> done) {
+        long deadline = arrivedNanos + TimeUnit.MILLISECONDS.toNanos(RECEIVE_LIMIT_MILLIS);
+        new BodyReader(request, maxBytes, deadline, mClock, done).read();
+    }
+
+    /**
+     * Tells why a request is refused before its body is read.
+     *
+     * @param refusal the refusal
+     * @param retryAfterMillis the retry delay that the caller is told, in milliseconds
+     */
+    private record Denial(Refusal refusal, long retryAfterMillis) {}
+
+    /**
+     * Finds what applies to a request unless the request is refused whatever its body is.
+     *
+     * @param request the request
+     * @param id its id; empty if it has no usable one
+     * @return the entries that apply, or why the request is refused
+     */
+    private Result<Match, Denial> admit(Request request, Optional<RequestId> id) {
+        if (mShutdown.closed()) {
+            return Result.err(
+                    new Denial(Refusal.of(ErrorKind.LEAVING), LEAVING_RETRY_AFTER_MILLIS));
+        }
         Optional<Catalog> catalog = mCurrentCatalog.catalog();
         if (catalog.isEmpty()) {
-            answer.refuse(Refusal.of(ErrorKind.NOT_READY), RETRY_AFTER_MILLIS);
-            return true;
+            return Result.err(new Denial(Refusal.of(ErrorKind.NOT_READY), RETRY_AFTER_MILLIS));
         }
-        if (sentId.isEmpty()) {
-            answer.refuse(new Refusal(ErrorKind.INVALID_REQUEST, FAULTY_ID), NO_RETRY);
-            return true;
+        if (id.isEmpty()) {
+            return Result.err(
+                    new Denial(new Refusal(ErrorKind.INVALID_REQUEST, FAULTY_ID), NO_RETRY));
         }
-        Result<Match, ErrorKind> match = match(request, catalog.get());
-        if (match instanceof Result.Err<Match, ErrorKind> err) {
-            answer.refuse(Refusal.of(err.error()), RETRY_AFTER_MILLIS);
-            return true;
-        }
-        Match found = ((Result.Ok<Match, ErrorKind>) match).value();
-        new BodyReader(
-                        request,
-                        catalog.get().limits().maxBodyBytes(),
-                        arrived + TimeUnit.MILLISECONDS.toNanos(RECEIVE_LIMIT_MILLIS),
-                        mClock,
-                        body ->
-                                body.fold(
-                                        bytes -> {
-                                            submit(
-                                                    gatewayRequest(
-                                                            request, id, found, bytes, arrived),
-                                                    answer,
-                                                    endPoint);
-                                            return null;
-                                        },
-                                        refusal -> {
-                                            answer.refuse(refusal, RETRY_AFTER_MILLIS);
-                                            return null;
-                                        }))
-                .read();
-        return true;
+        return match(request, catalog.get())
+                .fold(
+                        Result::ok,
+                        kind -> Result.err(new Denial(Refusal.of(kind), RETRY_AFTER_MILLIS)));
     }
 
     /**
