Write an event only after the one before has been written

What callers would see: a stream ends with its connection before its end, with time left, if events of its second backend server come while the caller has not read the last event of the first one.

Cause: each attempt waits for its own writes only. Jetty fails a write that begins while another one is pending, and a failed write breaks the stream off.

Evidence: CallerResponseTest, a write that the buffers of the connection do not hold and another one behind it: before the change, the received text lacks the first event's end and the last chunk.

Change: CallerResponse begins a write, and the end of the answer, when the write before has ended.

Tests: CallerResponseTest, KeptConnectionTest, PausedCallerTest green.

--- a/router/src/main/java/org/magnoliaseam/platform/CallerResponse.java
+++ b/router/src/main/java/org/magnoliaseam/platform/CallerResponse.java
@@ -50,6 +50,12 @@
     /** Whether the exchange has ended. */
     private boolean mEnded;
 
+    /**
+     * Completes when the last write has ended. Jetty fails a write that begins before that, and the
+     * events of another backend server may come while the caller reads those of the first one.
+     */
+    private CompletableFuture<Void> mWritten = CompletableFuture.completedFuture(null);
+
     /**
      * Creates a response writer.
      *
@@ -109,15 +115,27 @@
 
     @Override
     public CompletableFuture<Void> write(ByteBuffer bytes) {
-        useChunkedEncoding();
         Callback.Completable completable = new Callback.Completable();
-        mResponse.write(false, bytes, completable);
         completable.whenComplete(
                 (ignored, failure) -> {
                     if (failure != null) {
                         breakOff();
                     }
                 });
+        CompletableFuture<Void> before;
+        synchronized (this) {
+            before = mWritten;
+            mWritten = completable;
+        }
+        before.whenComplete(
+                (ignored, failure) -> {
+                    if (failure != null) {
+                        completable.failed(failure);
+                    } else {
+                        useChunkedEncoding();
+                        mResponse.write(false, bytes, completable);
+                    }
+                });
         return completable;
     }
 
@@ -129,7 +147,15 @@
     @Override
     public void endWith(ByteBuffer last) {
         if (finish()) {
-            mResponse.write(true, last, mCallback);
+            written()
+                    .whenComplete(
+                            (ignored, failure) -> {
+                                if (failure != null) {
+                                    mCallback.failed(failure);
+                                } else {
+                                    mResponse.write(true, last, mCallback);
+                                }
+                            });
         }
     }
 
@@ -193,6 +219,15 @@
         return true;
     }
 
+    /**
+     * Returns the end of the last write.
+     *
+     * @return completes with it
+     */
+    private synchronized CompletableFuture<Void> written() {
+        return mWritten;
+    }
+
     /**
      * Returns whether the exchange has ended.
      *
--- a/router/src/test/java/org/magnoliaseam/platform/CallerResponseTest.java
+++ b/router/src/test/java/org/magnoliaseam/platform/CallerResponseTest.java
@@ -26,6 +26,9 @@
 
     private static final int TIMEOUT_MILLIS = 5000;
 
+    /** More bytes than the buffers of a connection hold. */
+    private static final int LARGE_BYTES = 16 * 1024 * 1024;
+
     private static final String EVENT = "id: 1\ndata: 1\n\n";
 
     private final Server mServer = new Server();
@@ -114,4 +117,20 @@
                         });
         assertThat(received).contains("Content-Length: 2").endsWith("\r\n\r\nok");
     }
+
+    /** Guards against a stream that ends since its caller has not read the event before. */
+    @Test
+    void eventsThatComeFasterThanTheCallerReadsArriveInOrder() throws Exception {
+        String large = "a".repeat(LARGE_BYTES);
+        String received =
+                receive(
+                        answer -> {
+                            answer.head(new AnswerHead(200, List.of()));
+                            answer.write(ByteBuffer.wrap(large.getBytes(StandardCharsets.UTF_8)));
+                            answer.write(ByteBuffer.wrap(EVENT.getBytes(StandardCharsets.UTF_8)));
+                            answer.end();
+                        });
+        assertThat(received.contains(large + "\r\n")).isTrue();
+        assertThat(received).endsWith(EVENT + "\r\n0\r\n\r\n");
+    }
 }
