Keep idle connections of callers open for the published idle time

What callers would see: callers use a connection again that was idle for up to four fifths of the published idle time. If that is above 75 s, from the start or by a new configuration, the connection ends after 60 s: a request that crosses the close gets no answer.

Cause: the idle time of the configuration was decoded and used nowhere; the connector closes idle connections after 60 s.

Evidence: IdleCallerTest before the change: connectionStaysOpenForThePublished- IdleTime and idleConnectionFollowsALongerIdleTime ended without an answer. requestInProgressOutlastsTheIdleTime and unusedConnectionIsClosedAfterTheIdle- Time were green, so an idle timeout does not end a request in progress.

Change: when the idle timeout of an idle connection expires, it goes on with the published time if that is longer. Since this is asked at that moment, open connections follow a new configuration. A shorter published time changes nothing: a connection is open for 60 s at least.

Tests: IdleCallerTest, ObservedEndPointTest, KeptConnectionTest green.

--- a/router/src/main/java/org/magnoliaseam/caller/ObservedConnectionFactory.java
+++ b/router/src/main/java/org/magnoliaseam/caller/ObservedConnectionFactory.java
@@ -2,6 +2,7 @@
 
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.LongSupplier;
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.io.Connection;
@@ -25,6 +26,9 @@
     /** The clock. */
     private final MonotonicClock mClock;
 
+    /** Returns the published idle time of connections, in milliseconds. */
+    private volatile LongSupplier mIdleMillis = () -> 0;
+
     /** Counts the connections that end without an answer. */
     private final ConnectionNotices mNotices;
 
@@ -97,7 +101,12 @@
     public Connection newConnection(Connector connector, EndPoint endPoint) {
         ObservedEndPoint observed =
                 new ObservedEndPoint(
-                        endPoint, connector.getExecutor(), mReceiveLimitMillis, mNotices, mClock);
+                        endPoint,
+                        connector.getExecutor(),
+                        mReceiveLimitMillis,
+                        () -> mIdleMillis.getAsLong(),
+                        mNotices,
+                        mClock);
         Connection connection = super.newConnection(connector, observed);
         connection.addEventListener(
                 new Connection.Listener() {
@@ -114,6 +123,16 @@
         return connection;
     }
 
+    /**
+     * Sets the idle time that callers rely on. Open connections follow it; they stay open for the
+     * idle timeout of their connector if that is longer.
+     *
+     * @param idleMillis returns the idle time in milliseconds; 0 if none is published
+     */
+    public void idleTime(LongSupplier idleMillis) {
+        mIdleMillis = idleMillis;
+    }
+
     /**
      * Returns the notices of connections that ended without an answer.
      *
--- a/router/src/main/java/org/magnoliaseam/caller/ObservedEndPoint.java
+++ b/router/src/main/java/org/magnoliaseam/caller/ObservedEndPoint.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.Executor;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import java.util.function.LongSupplier;
 import org.eclipse.jetty.io.EndPoint;
 import org.eclipse.jetty.util.BufferUtil;
 import org.eclipse.jetty.util.Callback;
@@ -33,6 +34,9 @@
     /** The time limit for receiving a request, in nanoseconds. */
     private final long mReceiveLimitNanos;
 
+    /** Returns the published idle time in milliseconds; 0 if there is none. */
+    private final LongSupplier mIdleMillis;
+
     /** Counts the connections that end without an answer. */
     private final ConnectionNotices mNotices;
 
@@ -72,6 +76,7 @@
      * @param endPoint the end point to wrap
      * @param executor runs the callbacks of the connection
      * @param receiveLimitMillis the time limit for receiving a request, in milliseconds
+     * @param idleMillis returns the published idle time in milliseconds; 0 if there is none
      * @param notices counts the connections that end without an answer
      * @param clock the clock
      */
@@ -79,12 +84,14 @@
             EndPoint endPoint,
             Executor executor,
             long receiveLimitMillis,
+            LongSupplier idleMillis,
             ConnectionNotices notices,
             MonotonicClock clock) {
         super(endPoint);
         mEndPoint = endPoint;
         mExecutor = executor;
         mReceiveLimitNanos = TimeUnit.MILLISECONDS.toNanos(receiveLimitMillis);
+        mIdleMillis = idleMillis;
         mNotices = notices;
         mClock = clock;
     }
@@ -273,7 +280,8 @@
 
     /**
      * Handles a failure to read: notifies the connection if it waits to read, and the observer
-     * otherwise. An idle timeout does not end the observation.
+     * otherwise. An idle timeout does not end the observation, nor a connection that its caller may
+     * still use.
      *
      * @param cause the failure
      */
@@ -282,9 +290,10 @@
         boolean receiving;
         synchronized (this) {
             mRegistered = false;
-            readCallback = mReadCallback;
-            mReadCallback = null;
             receiving = mReceiving;
+            boolean waits = cause instanceof TimeoutException && isIdle() && prolongIdleTime();
+            readCallback = waits ? null : mReadCallback;
+            mReadCallback = waits ? mReadCallback : null;
         }
         if (readCallback != null) {
             if (receiving && cause instanceof TimeoutException) {
@@ -298,6 +307,20 @@
         }
     }
 
+    /**
+     * Sets the idle timeout of the connection to the published idle time if that is longer.
+     *
+     * @return true if it is
+     */
+    private boolean prolongIdleTime() {
+        long published = mIdleMillis.getAsLong();
+        boolean longer = published > mEndPoint.getIdleTimeout();
+        if (longer) {
+            mEndPoint.setIdleTimeout(published);
+        }
+        return longer;
+    }
+
     /** Reads the available bytes to detect whether the caller has closed the connection. */
     private void readAhead() {
         ByteBuffer bytes = BufferUtil.allocate(READ_AHEAD_BYTES);
--- a/router/src/main/java/org/magnoliaseam/route/GatewayFactory.java
+++ b/router/src/main/java/org/magnoliaseam/route/GatewayFactory.java
@@ -96,6 +96,8 @@
      */
     GatewayProcess process() {
         CurrentCatalog currentCatalog = new CurrentCatalog(mSettings.storeContactLimit(), mClock);
+        mConnections.idleTime(
+                () -> currentCatalog.catalog().map(now -> now.limits().idleMillis()).orElse(0L));
         ServerPool pool =
                 new ServerPool(mSettings.failureDomain(), () -> retryLimits(mReload.get()), mClock);
         pool.spillover().crossingCost(() -> mReload.get().crossingCost());
--- a/router/src/main/java/org/magnoliaseam/route/HttpFactory.java
+++ b/router/src/main/java/org/magnoliaseam/route/HttpFactory.java
@@ -28,7 +28,10 @@
     /** The time limit for connecting to a backend server in milliseconds. */
     private static final long CONNECT_TIMEOUT_MILLIS = 1000;
 
-    /** The time after which an idle connection is closed, in milliseconds. */
+    /**
+     * The time after which an idle connection is closed, in milliseconds. Connections of callers
+     * stay open for the published idle time if that is longer.
+     */
     private static final long IDLE_TIMEOUT_MILLIS = TimeUnit.SECONDS.toMillis(60);
 
     /** The maximum size of a request header in bytes. */
--- a/router/src/test/java/org/magnoliaseam/caller/ObservedEndPointTest.java
+++ b/router/src/test/java/org/magnoliaseam/caller/ObservedEndPointTest.java
@@ -35,6 +35,7 @@
                     mSocket,
                     mExecutor,
                     RECEIVE_LIMIT_MILLIS,
+                    () -> 0,
                     new ConnectionNotices(System::nanoTime),
                     System::nanoTime);
 
