Answer a request whose handling fails with an exception

What callers would see: a request whose body comes in a later packet than its head gets neither an answer nor a refusal, and its connection stays open, if starting it fails with an exception. Nothing is logged. With the body in the packet of the head, the caller gets a page of the HTTP server with status 500.

Cause: the callback that receives the body runs in the HTTP server's callback for more content, which ends with the exception; the exchange is left open.

Evidence: FailedSubmissionTest before the change: BODY_LATER and BODY_IN_PARTS end with a read timeout and no line in the log, WHOLE gets the page.

Change: handling a request and receiving its body are guarded. An exception is counted and logged (callers.unanswered.exception, the line of `callers`), and the request is refused as `internal` (500). A head of an answer after that is ignored, since the exchange has ended.

Tests: FailedSubmissionTest (3), RefusedCallerTest (12), CallerResponseTest, ConnectionNoticesTest green.

--- a/router/src/main/java/org/magnoliaseam/caller/ConnectionNotices.java
+++ b/router/src/main/java/org/magnoliaseam/caller/ConnectionNotices.java
@@ -7,16 +7,16 @@
 import org.apache.logging.log4j.Logger;
 import org.magnoliaseam.time.MonotonicClock;
 
-/** Counts and logs the connections that end without an answer. Thread-safe. */
+/** Counts and logs the requests that fail at their connections. Thread-safe. */
 public final class ConnectionNotices {
 
-    /** Logs the ends of connections. */
+    /** Logs the failures. */
     private static final Logger LOG = LogManager.getLogger("callers");
 
     /** The shortest time between two log lines on the same reason, in nanoseconds. */
     private static final long LOG_INTERVAL_NANOS = TimeUnit.SECONDS.toNanos(5);
 
-    /** The number of ends by reason. */
+    /** The number of failures by reason. */
     private final Map<UnansweredEnd, Long> mCounts = new EnumMap<>(UnansweredEnd.class);
 
     /** The local monotonic time of the last log line by reason. */
@@ -26,7 +26,7 @@
     private final MonotonicClock mClock;
 
     /**
-     * Creates notices without an end.
+     * Creates notices without a failure.
      *
      * @param clock the clock
      */
@@ -35,10 +35,10 @@
     }
 
     /**
-     * Counts the end of a connection and logs it unless the reason was logged shortly before.
+     * Counts a failed request and logs it unless the reason was logged shortly before.
      *
-     * @param reason why it ended
-     * @param cause the failure that ended it; null if there was none
+     * @param reason why it failed
+     * @param cause the exception; null if there was none
      */
     public synchronized void ended(UnansweredEnd reason, Throwable cause) {
         mCounts.merge(reason, 1L, Long::sum);
@@ -47,7 +47,7 @@
         if (logged == null || now - logged >= LOG_INTERVAL_NANOS) {
             mLoggedNanos.put(reason, now);
             LOG.warn(
-                    "callers: connection ended without an answer, reason={} count={}",
+                    "callers: request failed at its connection, reason={} count={}",
                     reason.text(),
                     mCounts.get(reason),
                     cause);
@@ -55,7 +55,7 @@
     }
 
     /**
-     * Returns how many connections ended for a reason.
+     * Returns how many requests failed for a reason.
      *
      * @param reason the reason
      * @return the number since the start of the process
--- a/router/src/main/java/org/magnoliaseam/caller/ObservedEndPoint.java
+++ b/router/src/main/java/org/magnoliaseam/caller/ObservedEndPoint.java
@@ -131,6 +131,15 @@
         mReceiving = false;
     }
 
+    /**
+     * Notes that handling a request failed.
+     *
+     * @param cause the exception
+     */
+    public void failed(Throwable cause) {
+        mNotices.ended(UnansweredEnd.EXCEPTION, cause);
+    }
+
     /** Ends the time limit for a request that has been received whole. */
     synchronized void received() {
         mReceiving = false;
--- a/router/src/main/java/org/magnoliaseam/caller/UnansweredEnd.java
+++ b/router/src/main/java/org/magnoliaseam/caller/UnansweredEnd.java
@@ -2,7 +2,7 @@
 
 import java.util.Locale;
 
-/** Lists why this process ends a connection without an answer to a request on it. */
+/** Lists why a request fails at its connection, mostly without an answer. */
 public enum UnansweredEnd {
     /** Receiving the request took longer than the time limit. */
     RECEIVE_LIMIT,
@@ -10,7 +10,7 @@
     IDLE,
     /** The request was answered before its body was read, so the answer may be lost. */
     UNREAD_BODY,
-    /** Handling the request failed with an exception. */
+    /** Handling the request failed with an exception; it was refused if that was possible. */
     EXCEPTION;
 
     /**
--- a/router/src/main/java/org/magnoliaseam/platform/CallerProtocol.java
+++ b/router/src/main/java/org/magnoliaseam/platform/CallerProtocol.java
@@ -93,58 +93,82 @@
 
     @Override
     public boolean handle(Request request, Response response, Callback callback) {
-        long arrived = mClock.nanos();
         if (mShutdown.leaving()) {
             response.getHeaders().put(HttpHeader.CONNECTION, "close");
         }
+        Optional<RequestId> id = id(request.getHeaders());
+        CallerResponse answer = new CallerResponse(response, callback, id.orElse(NO_ID));
         Optional<ObservedEndPoint> endPoint = endPoint(request);
-        Optional<RequestId> sentId = id(request.getHeaders());
-        RequestId id = sentId.orElse(NO_ID);
-        CallerResponse answer = new CallerResponse(response, callback, id);
-        Result<Match, Denial> match = admit(request, sentId);
-        if (match instanceof Result.Err<Match, Denial> err) {
-            Denial denial = err.error();
-            Runnable deny = () -> answer.refuse(denial.refusal(), denial.retryAfterMillis());
-            read(request, 0, arrived, body -> deny.run());
-            return true;
-        }
-        Match found = ((Result.Ok<Match, Denial>) match).value();
-        read(
-                request,
-                found.catalog().limits().maxBodyBytes(),
-                arrived,
-                body ->
-                        body.fold(
-                                bytes -> {
-                                    submit(
-                                            gatewayRequest(request, id, found, bytes, arrived),
-                                            answer,
-                                            endPoint);
-                                    return null;
-                                },
-                                refusal -> {
-                                    answer.refuse(refusal, RETRY_AFTER_MILLIS);
-                                    return null;
-                                }));
+        guard(() -> serve(request, id, answer, endPoint), answer, endPoint);
         return true;
     }
 
     /**
-     * Reads the body of a request, also if the request is refused: the caller may lose an answer
-     * that is sent while its body arrives.
+     * Runs a step of a request and refuses the request if that fails with an exception. Jetty sends
+     * no answer if an exception leaves a callback that reads the body.
+     *
+     * @param step the step
+     * @param answer writes the response
+     * @param endPoint the connection of the caller, if it can be observed
+     */
+    private static void guard(
+            Runnable step, CallerResponse answer, Optional<ObservedEndPoint> endPoint) {
+        try {
+            step.run();
+        } catch (RuntimeException | Error e) {
+            endPoint.ifPresent(observed -> observed.failed(e));
+            answer.refuse(Refusal.of(ErrorKind.INTERNAL));
+        }
+    }
+
+    /**
+     * Reads the body of a request and runs the request or refuses it. The body is read in both
+     * cases: the caller may lose an answer that is sent while its body arrives.
      *
      * @param request the request
-     * @param maxBytes the largest accepted size in bytes
-     * @param arrivedNanos the local monotonic time of arrival
-     * @param done receives the body, or why there is none
+     * @param id its id; empty if it has no usable one
+     * @param answer writes the response
+     * @param endPoint the connection of the caller, if it can be observed
      */
-    private void read(
+    private void serve(
             Request request,
-            int maxBytes,
-            long arrivedNanos,
-            Consumer<Result<byte[], Refusal>> done) {
-        long deadline = arrivedNanos + TimeUnit.MILLISECONDS.toNanos(RECEIVE_LIMIT_MILLIS);
-        new BodyReader(request, maxBytes, deadline, mClock, done).read();
+            Optional<RequestId> id,
+            CallerResponse answer,
+            Optional<ObservedEndPoint> endPoint) {
+        long arrived = mClock.nanos();
+        Result<Match, Denial> match = admit(request, id);
+        int maxBytes;
+        Consumer<Result<byte[], Refusal>> onBody;
+        if (match instanceof Result.Ok<Match, Denial> ok) {
+            Match found = ok.value();
+            maxBytes = found.catalog().limits().maxBodyBytes();
+            onBody =
+                    body ->
+                            body.fold(
+                                    bytes -> {
+                                        submit(
+                                                gatewayRequest(
+                                                        request, id.get(), found, bytes, arrived),
+                                                answer,
+                                                endPoint);
+                                        return null;
+                                    },
+                                    refusal -> {
+                                        answer.refuse(refusal, RETRY_AFTER_MILLIS);
+                                        return null;
+                                    });
+        } else {
+            Denial denial = ((Result.Err<Match, Denial>) match).error();
+            maxBytes = 0;
+            onBody = body -> answer.refuse(denial.refusal(), denial.retryAfterMillis());
+        }
+        new BodyReader(
+                        request,
+                        maxBytes,
+                        arrived + TimeUnit.MILLISECONDS.toNanos(RECEIVE_LIMIT_MILLIS),
+                        mClock,
+                        body -> guard(() -> onBody.accept(body), answer, endPoint))
+                .read();
     }
 
     /**
--- a/router/src/main/java/org/magnoliaseam/platform/CallerResponse.java
+++ b/router/src/main/java/org/magnoliaseam/platform/CallerResponse.java
@@ -104,6 +104,9 @@
 
     @Override
     public void head(AnswerHead head) {
+        if (ended()) {
+            return;
+        }
         mResponse.setStatus(head.status());
         HttpFields.Mutable fields = mResponse.getHeaders();
         for (Header field : head.headers()) {
