--- a/router/src/main/java/org/magnoliaseam/caller/ObservedConnectionFactory.java
+++ b/router/src/main/java/org/magnoliaseam/caller/ObservedConnectionFactory.java
@@ -2,7 +2,9 @@
 
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.LongSupplier;
 import org.eclipse.jetty.http.HttpFields;
+import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.io.Connection;
 import org.eclipse.jetty.io.Content;
 import org.eclipse.jetty.io.EndPoint;
@@ -24,6 +26,12 @@
     /** The clock. */
     private final MonotonicClock mClock;
 
+    /** Returns the published idle time of connections, in milliseconds. */
+    private volatile LongSupplier mIdleMillis = () -> 0;
+
+    /** Counts the connections that end without an answer. */
+    private final ConnectionNotices mNotices;
+
     /** The open connections. */
     private final Set<ObservedEndPoint> mOpen = ConcurrentHashMap.newKeySet();
 
@@ -39,6 +47,7 @@
         super(configuration);
         mReceiveLimitMillis = receiveLimitMillis;
         mClock = clock;
+        mNotices = new ConnectionNotices(clock);
         getHttpConfiguration().addCustomizer(ObservedConnectionFactory::observeBody);
     }
 
@@ -81,7 +90,10 @@
         if (!(endPoint instanceof ObservedEndPoint observed)) {
             return request;
         }
-        Request.addCompletionListener(request, failure -> observed.received());
+        boolean hasBody =
+                request.getHeaders().contains(HttpHeader.TRANSFER_ENCODING)
+                        || request.getHeaders().getLongField(HttpHeader.CONTENT_LENGTH) > 0;
+        Request.addCompletionListener(request, failure -> observed.answered(hasBody));
         return new ObservedRequest(request, observed);
     }
 
@@ -89,7 +101,12 @@
     public Connection newConnection(Connector connector, EndPoint endPoint) {
         ObservedEndPoint observed =
                 new ObservedEndPoint(
-                        endPoint, connector.getExecutor(), mReceiveLimitMillis, mClock);
+                        endPoint,
+                        connector.getExecutor(),
+                        mReceiveLimitMillis,
+                        () -> mIdleMillis.getAsLong(),
+                        mNotices,
+                        mClock);
         Connection connection = super.newConnection(connector, observed);
         connection.addEventListener(
                 new Connection.Listener() {
@@ -106,6 +123,25 @@
         return connection;
     }
 
+    /**
+     * Sets the idle time that callers rely on. Open connections follow it; they stay open for the
+     * idle timeout of their connector if that is longer.
+     *
+     * @param idleMillis returns the idle time in milliseconds; 0 if none is published
+     */
+    public void idleTime(LongSupplier idleMillis) {
+        mIdleMillis = idleMillis;
+    }
+
+    /**
+     * Returns the notices of connections that ended without an answer.
+     *
+     * @return the notices of all connections
+     */
+    public ConnectionNotices notices() {
+        return mNotices;
+    }
+
     /**
      * Closes the connections on which no request is received or in progress.
      *
--- a/router/src/main/java/org/magnoliaseam/caller/ObservedEndPoint.java
+++ b/router/src/main/java/org/magnoliaseam/caller/ObservedEndPoint.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.Executor;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import java.util.function.LongSupplier;
 import org.eclipse.jetty.io.EndPoint;
 import org.eclipse.jetty.util.BufferUtil;
 import org.eclipse.jetty.util.Callback;
@@ -33,6 +34,12 @@
     /** The time limit for receiving a request, in nanoseconds. */
     private final long mReceiveLimitNanos;
 
+    /** Returns the published idle time in milliseconds; 0 if there is none. */
+    private final LongSupplier mIdleMillis;
+
+    /** Counts the connections that end without an answer. */
+    private final ConnectionNotices mNotices;
+
     /** The clock. */
     private final MonotonicClock mClock;
 
@@ -54,6 +61,9 @@
     /** Whether a part of a request has been received, but not all of it. */
     private boolean mReceiving;
 
+    /** Whether that part consists of line ends, which may also come between two requests. */
+    private boolean mOnlyLineEnds;
+
     /** The local monotonic time at which the first part of the request was received. */
     private long mReceivingSinceNanos;
 
@@ -66,14 +76,23 @@
      * @param endPoint the end point to wrap
      * @param executor runs the callbacks of the connection
      * @param receiveLimitMillis the time limit for receiving a request, in milliseconds
+     * @param idleMillis returns the published idle time in milliseconds; 0 if there is none
+     * @param notices counts the connections that end without an answer
      * @param clock the clock
      */
     ObservedEndPoint(
-            EndPoint endPoint, Executor executor, long receiveLimitMillis, MonotonicClock clock) {
+            EndPoint endPoint,
+            Executor executor,
+            long receiveLimitMillis,
+            LongSupplier idleMillis,
+            ConnectionNotices notices,
+            MonotonicClock clock) {
         super(endPoint);
         mEndPoint = endPoint;
         mExecutor = executor;
         mReceiveLimitNanos = TimeUnit.MILLISECONDS.toNanos(receiveLimitMillis);
+        mIdleMillis = idleMillis;
+        mNotices = notices;
         mClock = clock;
     }
 
@@ -100,7 +119,28 @@
         mOnClosed = null;
     }
 
-    /** Ends the time limit for a request that has been received whole or was answered. */
+    /**
+     * Ends the time limit for a request that has been answered, and notes an unread body.
+     *
+     * @param hasBody whether the request has a body
+     */
+    synchronized void answered(boolean hasBody) {
+        if (mReceiving && hasBody) {
+            mNotices.ended(UnansweredEnd.UNREAD_BODY, null);
+        }
+        mReceiving = false;
+    }
+
+    /**
+     * Notes that handling a request failed.
+     *
+     * @param cause the exception
+     */
+    public void failed(Throwable cause) {
+        mNotices.ended(UnansweredEnd.EXCEPTION, cause);
+    }
+
+    /** Ends the time limit for a request that has been received whole. */
     synchronized void received() {
         mReceiving = false;
     }
@@ -111,7 +151,7 @@
      * @return false while a request is received or in progress
      */
     synchronized boolean isIdle() {
-        return mReadCallback != null && !mReceiving;
+        return mReadCallback != null && (!mReceiving || mOnlyLineEnds);
     }
 
     @Override
@@ -121,7 +161,7 @@
                 int position = BufferUtil.flipToFill(buffer);
                 int moved = BufferUtil.put(mBuffered, buffer);
                 BufferUtil.flipToFlush(buffer, position);
-                countReceived(moved);
+                countReceived(buffer, moved);
                 return moved;
             }
             if (mEndOfInput) {
@@ -138,30 +178,50 @@
         } finally {
             endRead();
         }
-        return countReceived(filled) ? filled : -1;
+        return countReceived(buffer, filled) ? filled : -1;
     }
 
     /**
      * Starts the time limit for receiving a request with its first bytes, and ends the input when
-     * bytes are received after the limit.
+     * bytes are received after the limit. Line ends before a request do not belong to it.
      *
+     * @param buffer the buffer that ends with the bytes received
      * @param count the number of bytes received
      * @return false if the limit has passed
      */
-    private synchronized boolean countReceived(int count) {
+    private synchronized boolean countReceived(ByteBuffer buffer, int count) {
         if (count <= 0) {
             return true;
         }
         long now = mClock.nanos();
-        if (!mReceiving) {
+        boolean onlyLineEnds = (!mReceiving || mOnlyLineEnds) && isLineEnds(buffer, count);
+        if (!mReceiving || mOnlyLineEnds && !onlyLineEnds) {
             mReceiving = true;
+            mOnlyLineEnds = onlyLineEnds;
             mReceivingSinceNanos = now;
         } else if (now - mReceivingSinceNanos > mReceiveLimitNanos) {
             mEndOfInput = true;
+            mNotices.ended(UnansweredEnd.RECEIVE_LIMIT, null);
         }
         return !mEndOfInput;
     }
 
+    /**
+     * Tells whether the last bytes of a buffer are line ends.
+     *
+     * @param buffer the buffer
+     * @param count the number of bytes
+     * @return true if there are no others among them
+     */
+    private static boolean isLineEnds(ByteBuffer buffer, int count) {
+        for (int i = buffer.limit() - count; i < buffer.limit(); i++) {
+            if (buffer.get(i) != '\r' && buffer.get(i) != '\n') {
+                return false;
+            }
+        }
+        return true;
+    }
+
     @Override
     public void fillInterested(Callback callback) {
         boolean ready;
@@ -229,18 +289,25 @@
 
     /**
      * Handles a failure to read: notifies the connection if it waits to read, and the observer
-     * otherwise. An idle timeout does not end the observation.
+     * otherwise. An idle timeout does not end the observation, nor a connection that its caller may
+     * still use.
      *
      * @param cause the failure
      */
     private void readFailed(Throwable cause) {
         Callback readCallback;
+        boolean receiving;
         synchronized (this) {
             mRegistered = false;
-            readCallback = mReadCallback;
-            mReadCallback = null;
+            receiving = mReceiving;
+            boolean waits = cause instanceof TimeoutException && isIdle() && prolongIdleTime();
+            readCallback = waits ? null : mReadCallback;
+            mReadCallback = waits ? mReadCallback : null;
         }
         if (readCallback != null) {
+            if (receiving && cause instanceof TimeoutException) {
+                mNotices.ended(UnansweredEnd.IDLE, null);
+            }
             readCallback.failed(cause);
         } else if (cause instanceof TimeoutException) {
             register();
@@ -249,6 +316,20 @@
         }
     }
 
+    /**
+     * Sets the idle timeout of the connection to the published idle time if that is longer.
+     *
+     * @return true if it is
+     */
+    private boolean prolongIdleTime() {
+        long published = mIdleMillis.getAsLong();
+        boolean longer = published > mEndPoint.getIdleTimeout();
+        if (longer) {
+            mEndPoint.setIdleTimeout(published);
+        }
+        return longer;
+    }
+
     /** Reads the available bytes to detect whether the caller has closed the connection. */
     private void readAhead() {
         ByteBuffer bytes = BufferUtil.allocate(READ_AHEAD_BYTES);
--- a/router/src/main/java/org/magnoliaseam/platform/CallerProtocol.java
+++ b/router/src/main/java/org/magnoliaseam/platform/CallerProtocol.java
@@ -5,6 +5,7 @@
 import java.util.Locale;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import org.eclipse.jetty.http.HttpField;
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpHeader;
@@ -92,54 +93,116 @@
 
     @Override
     public boolean handle(Request request, Response response, Callback callback) {
-        long arrived = mClock.nanos();
         if (mShutdown.leaving()) {
             response.getHeaders().put(HttpHeader.CONNECTION, "close");
         }
+        Optional<RequestId> id = id(request.getHeaders());
+        CallerResponse answer = new CallerResponse(response, callback, id.orElse(NO_ID));
         Optional<ObservedEndPoint> endPoint = endPoint(request);
-        Optional<RequestId> sentId = id(request.getHeaders());
-        RequestId id = sentId.orElse(NO_ID);
-        CallerResponse answer = new CallerResponse(response, callback, id);
-        if (mShutdown.closed()) {
-            answer.refuse(Refusal.of(ErrorKind.LEAVING), LEAVING_RETRY_AFTER_MILLIS);
-            return true;
-        }
-        Optional<Catalog> catalog = mCurrentCatalog.catalog();
-        if (catalog.isEmpty()) {
-            answer.refuse(Refusal.of(ErrorKind.NOT_READY), RETRY_AFTER_MILLIS);
-            return true;
-        }
-        if (sentId.isEmpty()) {
-            answer.refuse(new Refusal(ErrorKind.INVALID_REQUEST, FAULTY_ID), NO_RETRY);
-            return true;
+        guard(() -> serve(request, id, answer, endPoint), answer, endPoint);
+        return true;
+    }
+
+    /**
+     * Runs a step of a request and refuses the request if that fails with an exception. Jetty sends
+     * no answer if an exception leaves a callback that reads the body.
+     *
+     * @param step the step
+     * @param answer writes the response
+     * @param endPoint the connection of the caller, if it can be observed
+     */
+    private static void guard(
+            Runnable step, CallerResponse answer, Optional<ObservedEndPoint> endPoint) {
+        try {
+            step.run();
+        } catch (RuntimeException | Error e) {
+            endPoint.ifPresent(observed -> observed.failed(e));
+            answer.refuse(Refusal.of(ErrorKind.INTERNAL));
         }
-        Result<Match, ErrorKind> match = match(request, catalog.get());
-        if (match instanceof Result.Err<Match, ErrorKind> err) {
-            answer.refuse(Refusal.of(err.error()), RETRY_AFTER_MILLIS);
-            return true;
+    }
+
+    /**
+     * Reads the body of a request and runs the request or refuses it. The body is read in both
+     * cases: the caller may lose an answer that is sent while its body arrives.
+     *
+     * @param request the request
+     * @param id its id; empty if it has no usable one
+     * @param answer writes the response
+     * @param endPoint the connection of the caller, if it can be observed
+     */
+    private void serve(
+            Request request,
+            Optional<RequestId> id,
+            CallerResponse answer,
+            Optional<ObservedEndPoint> endPoint) {
+        long arrived = mClock.nanos();
+        Result<Match, Denial> match = admit(request, id);
+        int maxBytes;
+        Consumer<Result<byte[], Refusal>> onBody;
+        if (match instanceof Result.Ok<Match, Denial> ok) {
+            Match found = ok.value();
+            maxBytes = found.catalog().limits().maxBodyBytes();
+            onBody =
+                    body ->
+                            body.fold(
+                                    bytes -> {
+                                        submit(
+                                                gatewayRequest(
+                                                        request, id.get(), found, bytes, arrived),
+                                                answer,
+                                                endPoint);
+                                        return null;
+                                    },
+                                    refusal -> {
+                                        answer.refuse(refusal, RETRY_AFTER_MILLIS);
+                                        return null;
+                                    });
+        } else {
+            Denial denial = ((Result.Err<Match, Denial>) match).error();
+            maxBytes = 0;
+            onBody = body -> answer.refuse(denial.refusal(), denial.retryAfterMillis());
         }
-        Match found = ((Result.Ok<Match, ErrorKind>) match).value();
         new BodyReader(
                         request,
-                        catalog.get().limits().maxBodyBytes(),
+                        maxBytes,
                         arrived + TimeUnit.MILLISECONDS.toNanos(RECEIVE_LIMIT_MILLIS),
                         mClock,
-                        body ->
-                                body.fold(
-                                        bytes -> {
-                                            submit(
-                                                    gatewayRequest(
-                                                            request, id, found, bytes, arrived),
-                                                    answer,
-                                                    endPoint);
-                                            return null;
-                                        },
-                                        refusal -> {
-                                            answer.refuse(refusal, RETRY_AFTER_MILLIS);
-                                            return null;
-                                        }))
+                        body -> guard(() -> onBody.accept(body), answer, endPoint))
                 .read();
-        return true;
+    }
+
+    /**
+     * Tells why a request is refused before its body is read.
+     *
+     * @param refusal the refusal
+     * @param retryAfterMillis the retry delay that the caller is told, in milliseconds
+     */
+    private record Denial(Refusal refusal, long retryAfterMillis) {}
+
+    /**
+     * Finds what applies to a request unless the request is refused whatever its body is.
+     *
+     * @param request the request
+     * @param id its id; empty if it has no usable one
+     * @return the entries that apply, or why the request is refused
+     */
+    private Result<Match, Denial> admit(Request request, Optional<RequestId> id) {
+        if (mShutdown.closed()) {
+            return Result.err(
+                    new Denial(Refusal.of(ErrorKind.LEAVING), LEAVING_RETRY_AFTER_MILLIS));
+        }
+        Optional<Catalog> catalog = mCurrentCatalog.catalog();
+        if (catalog.isEmpty()) {
+            return Result.err(new Denial(Refusal.of(ErrorKind.NOT_READY), RETRY_AFTER_MILLIS));
+        }
+        if (id.isEmpty()) {
+            return Result.err(
+                    new Denial(new Refusal(ErrorKind.INVALID_REQUEST, FAULTY_ID), NO_RETRY));
+        }
+        return match(request, catalog.get())
+                .fold(
+                        Result::ok,
+                        kind -> Result.err(new Denial(Refusal.of(kind), RETRY_AFTER_MILLIS)));
     }
 
     /**
--- a/router/src/test/java/org/magnoliaseam/caller/ObservedEndPointTest.java
+++ b/router/src/test/java/org/magnoliaseam/caller/ObservedEndPointTest.java
@@ -31,7 +31,13 @@
     private final HeldEndPoint mSocket = new HeldEndPoint();
 
     private final ObservedEndPoint mObserved =
-            new ObservedEndPoint(mSocket, mExecutor, RECEIVE_LIMIT_MILLIS, System::nanoTime);
+            new ObservedEndPoint(
+                    mSocket,
+                    mExecutor,
+                    RECEIVE_LIMIT_MILLIS,
+                    () -> 0,
+                    new ConnectionNotices(System::nanoTime),
+                    System::nanoTime);
 
     private final StringBuffer mReceived = new StringBuffer();
 
