Send a digest to all peers although one of them cannot be sent to

Cause: the first datagram that could not be sent ended the loop over the receivers of a digest; the rest of them got none.

Change: each datagram of a digest is sent like the others, where a failure concerns one receiver.

Test: peerThatCannotBeSentToDoesNotKeepTheDigestFromOthers (16 addresses without a port beside a sound one) was red before, with a timeout, and is green; GossipTest passes.

--- a/router/src/main/java/org/magnoliaseam/gossip/GossipNode.java
+++ b/router/src/main/java/org/magnoliaseam/gossip/GossipNode.java
@@ -206,7 +206,7 @@
      *
      * @param peers the number of live peers
      * @param now the local monotonic time
-     * @throws IOException if a datagram cannot be sent
+     * @throws IOException if the digest cannot be encoded
      */
     private void sendDigest(int peers, long now) throws IOException {
         List<PeerEndpoint> live = mPeers.live(now);
@@ -231,12 +231,12 @@
             targets.addAll(mPeers.discoveryTargets(now));
         }
         for (PeerEndpoint target : targets) {
-            mSocket.send(new DatagramPacket(bytes, bytes.length, target.address()));
+            send(target, bytes);
         }
     }
 
     /**
-     * Sends a datagram that is not a digest; it may be lost.
+     * Sends a datagram; it may be lost.
      *
      * @param peer the entry VM
      * @param bytes the bytes
--- a/router/src/test/java/org/magnoliaseam/gossip/EarlyDigestTest.java
+++ b/router/src/test/java/org/magnoliaseam/gossip/EarlyDigestTest.java
@@ -7,6 +7,7 @@
 import java.net.DatagramSocket;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.CountDownLatch;
@@ -87,10 +88,10 @@
         }
     }
 
-    private static GossipNode node(InetSocketAddress own, InetSocketAddress seed) {
+    private static GossipNode node(InetSocketAddress own, List<InetSocketAddress> seeds) {
         return new GossipNode(
                 own,
-                List.of(seed),
+                seeds,
                 new NewsListener(),
                 new FailureLog(new MetricRegistry(), System::nanoTime),
                 System::nanoTime);
@@ -105,7 +106,7 @@
                 own = (InetSocketAddress) free.getLocalSocketAddress();
             }
             CountDownLatch received = new CountDownLatch(2);
-            GossipNode node = node(own, (InetSocketAddress) peer.getLocalSocketAddress());
+            GossipNode node = node(own, List.of());
             node.start(
                     new TimersWithoutPeriod(),
                     (from, bytes, length) -> {
@@ -119,6 +120,28 @@
         }
     }
 
+    @Test
+    void peerThatCannotBeSentToDoesNotKeepTheDigestFromOthers() throws Exception {
+        InetAddress host = InetAddress.getLoopbackAddress();
+        try (DatagramSocket peer = new DatagramSocket(0, host)) {
+            InetSocketAddress own;
+            try (DatagramSocket free = new DatagramSocket(0, host)) {
+                own = (InetSocketAddress) free.getLocalSocketAddress();
+            }
+            InetSocketAddress seed = (InetSocketAddress) peer.getLocalSocketAddress();
+            List<InetSocketAddress> seeds = new ArrayList<>(List.of(seed));
+            for (int i = 1; i <= 16; i++) {
+                seeds.add(new InetSocketAddress("127.0.0." + i, 0));
+            }
+            GossipNode node = node(own, seeds);
+            node.start(new TimersWithoutPeriod(), (from, bytes, length) -> false);
+            node.hurry();
+            peer.setSoTimeout(2000);
+            peer.receive(new DatagramPacket(new byte[4096], 4096));
+            node.stop();
+        }
+    }
+
     @Test
     void newsOfACrashIsSentAtOnceAndOnceForThoseThatComeTogether() throws Exception {
         TimersWithoutPeriod timers = new TimersWithoutPeriod();
@@ -128,7 +151,7 @@
             try (DatagramSocket free = new DatagramSocket(0, InetAddress.getLoopbackAddress())) {
                 own = (InetSocketAddress) free.getLocalSocketAddress();
             }
-            GossipNode node = node(own, seed);
+            GossipNode node = node(own, List.of(seed));
             node.hurry();
             node.start(timers, (from, bytes, length) -> false);
             node.hurry();
