End the request alone whose decision fails

What callers would see: a request of the chat path whose query is no URI for java.net.URI, such as /a?b={c}, got neither an answer nor a refusal, and after it no request of this entry VM was started, refused or handed over any more.

Cause: JettyBackendClient.start throws for such a path. DispatchLoop.drain counted its pending decisions down without a guard, so the count stayed above zero and no decision was executed again; the request kept its slot and had no answer.

Change: a failed decision is logged and the next one is executed; RequestFlow ends the request of the failed decision as internal, frees its slot and ends its attempt. The query itself is still refused, not forwarded.

That the HTTP server lets such a query pass is by reading, not by a run.

--- a/router/src/main/java/org/magnoliaseam/route/ActiveRequest.java
+++ b/router/src/main/java/org/magnoliaseam/route/ActiveRequest.java
@@ -1,8 +1,6 @@
 package org.magnoliaseam.route;
 
-import java.util.HashSet;
 import java.util.Optional;
-import java.util.Set;
 import org.magnoliaseam.backend.BackendFailure;
 import org.magnoliaseam.backend.BackendListener;
 import org.magnoliaseam.dispatch.Decision;
@@ -46,11 +44,8 @@
     /** Creates the dispatcher entries, calls and relays of the attempts. */
     private final AttemptFactory mFactory;
 
-    /** The backend servers that are excluded because an attempt failed there. */
-    private final Set<BackendServerId> mExcluded = new HashSet<>();
-
-    /** The backend servers that the queued request must avoid as a suspect of crashes. */
-    private Set<BackendServerId> mSuspectExclusions = Set.of();
+    /** The backend servers that the request must avoid. */
+    private final ServerExclusions mExclusions = new ServerExclusions();
 
     /** The current attempt; null if the request is queued or has ended. */
     private Attempt mAttempt;
@@ -100,7 +95,7 @@
     synchronized void enqueue() {
         if (!mEnded) {
             mRecord.add(RecordEventKind.QUEUED, "", mRequest.requestClass().tier().toString());
-            mSuspectExclusions = mParts.guard().suspectExclusions(mRequest);
+            mExclusions.suspect(mParts.guard().suspectExclusions(mRequest));
             mParts.loop().offer(work());
         }
     }
@@ -110,12 +105,10 @@
      * its queue entry if they have changed.
      */
     synchronized void refreshExclusions() {
-        if (mEnded || mAttempt != null || mSuspectExclusions.isEmpty()) {
+        if (mEnded || mAttempt != null || !mExclusions.anySuspect()) {
             return;
         }
-        Set<BackendServerId> suspectExclusions = mParts.guard().suspectExclusions(mRequest);
-        if (!suspectExclusions.equals(mSuspectExclusions)) {
-            mSuspectExclusions = suspectExclusions;
+        if (mExclusions.suspect(mParts.guard().suspectExclusions(mRequest))) {
             mParts.loop().replace(work());
         }
     }
@@ -201,6 +194,19 @@
         end(reported.text(), reported.executed(), false);
     }
 
+    /** Ends the attempt, if there is one, and the request after a failure of the router itself. */
+    synchronized void abandon() {
+        Attempt attempt = mAttempt;
+        if (attempt != null) {
+            attempt.cancel();
+            release(attempt);
+            if (attempt.target() instanceof AttemptTarget.Server server) {
+                mParts.guard().ended(server.id(), mRequest, BackendFailure.INCOMPLETE, true);
+            }
+        }
+        refuse(ErrorKind.INTERNAL, "A decision about the request could not be carried out.");
+    }
+
     /**
      * Cancels the request because its caller has disconnected. A non-idempotent request with an
      * attempt in progress continues, so that its ticket can report the outcome.
@@ -315,7 +321,7 @@
      */
     private void afterFailure(Attempt attempt, BackendFailure failure) {
         if (attempt.target() instanceof AttemptTarget.Server server) {
-            mExcluded.add(server.id());
+            mExclusions.failed(server.id());
         } else if (!failure.mayHaveRun()) {
             enqueue();
             return;
@@ -356,9 +362,7 @@
      * @return the description
      */
     private WorkItem work() {
-        Set<BackendServerId> excluded = new HashSet<>(mExcluded);
-        excluded.addAll(mSuspectExclusions);
-        return mFactory.work(excluded, mMayHaveRun, mLocalOnly);
+        return mFactory.work(mExclusions.all(), mMayHaveRun, mLocalOnly);
     }
 
     /** Updates the dispatcher with a new fleet snapshot, then queues the request again. */
--- a/router/src/main/java/org/magnoliaseam/route/DispatchLoop.java
+++ b/router/src/main/java/org/magnoliaseam/route/DispatchLoop.java
@@ -7,6 +7,8 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
 import java.util.function.LongFunction;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
 import org.magnoliaseam.dispatch.Decision;
 import org.magnoliaseam.dispatch.Dispatcher;
 import org.magnoliaseam.dispatch.WorkItem;
@@ -22,6 +24,9 @@
  */
 public final class DispatchLoop {
 
+    /** The log. */
+    private static final Logger LOG = LogManager.getLogger("route");
+
     /** The dispatcher, guarded by this object's lock. */
     private final Dispatcher mDispatcher;
 
@@ -156,12 +161,16 @@
         }
     }
 
-    /** Executes the pending decisions. */
+    /** Executes the pending decisions; one that fails does not keep back those behind it. */
     private void drain() {
         do {
             Decision next = mPending.poll();
-            if (next != null) {
-                mHandler.accept(next);
+            try {
+                if (next != null) {
+                    mHandler.accept(next);
+                }
+            } catch (RuntimeException e) {
+                LOG.error("route: a decision failed, request={}", next.id(), e);
             }
         } while (mPendingCount.decrementAndGet() > 0);
     }
--- a/router/src/main/java/org/magnoliaseam/route/RequestFlow.java
+++ b/router/src/main/java/org/magnoliaseam/route/RequestFlow.java
@@ -6,6 +6,8 @@
 import java.util.function.BooleanSupplier;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
 import org.magnoliaseam.dispatch.Decision;
 import org.magnoliaseam.error.ErrorKind;
 import org.magnoliaseam.error.Refusal;
@@ -31,6 +33,9 @@
 /** Accepts requests from callers and peers and executes the decisions of the dispatcher. */
 public final class RequestFlow implements RequestService {
 
+    /** The log. */
+    private static final Logger LOG = LogManager.getLogger("route");
+
     /** The dependencies that all requests share. */
     private final RequestParts mParts;
 
@@ -233,20 +238,35 @@
     }
 
     /**
-     * Executes a decision.
+     * Executes a decision; a failure ends the request, so that its caller is not left waiting.
      *
      * @param decision the decision
      */
     private void execute(Decision decision) {
         ActiveRequest active = mActive.get(decision.id());
-        if (decision instanceof Decision.Start start) {
-            if (active == null) {
-                mParts.loop().finished(start.id());
-            } else {
-                active.start(start);
+        if (active == null) {
+            if (decision instanceof Decision.Start) {
+                mParts.loop().finished(decision.id());
             }
-        } else if (active == null) {
             return;
+        }
+        try {
+            execute(decision, active);
+        } catch (RuntimeException e) {
+            LOG.error("route: a decision failed, request={}", decision.id(), e);
+            active.abandon();
+        }
+    }
+
+    /**
+     * Executes a decision about a request that has not ended.
+     *
+     * @param decision the decision
+     * @param active the request
+     */
+    private static void execute(Decision decision, ActiveRequest active) {
+        if (decision instanceof Decision.Start start) {
+            active.start(start);
         } else if (decision instanceof Decision.Refuse refuse) {
             active.refuse(refuse.kind(), refuse.reason());
         } else if (decision instanceof Decision.Preempt preempt) {
