Stop only when the answers of callers are written

What callers would see: at a planned stop of an entry VM of the chat path, a request that waits for the issuer of its ticket ended with its connection, and an answer that a slow caller still reads was broken off, though the answer was in hand.

Cause: the stop waits while RequestFlow.active() is above zero, but that counted the requests in the dispatcher alone. A request forwarded to the issuer of its ticket is not among them, and one that is completed leaves them before its body is written.

Change: OpenAnswers counts each request from its arrival to the end of its sink, and active() returns that count.

--- a/router/src/main/java/org/magnoliaseam/route/RequestFlow.java
+++ b/router/src/main/java/org/magnoliaseam/route/RequestFlow.java
@@ -54,6 +54,9 @@
     /** The requests that are queued or running. */
     private final Map<RequestId, ActiveRequest> mActive = new ConcurrentHashMap<>();
 
+    /** The requests whose answer has not ended. */
+    private final OpenAnswers mOpenAnswers = new OpenAnswers();
+
     /** The limits of the client accounts. */
     private final Map<ClientAccountId, AccountLimiter> mLimiters = new ConcurrentHashMap<>();
 
@@ -82,6 +85,46 @@
 
     @Override
     public Cancellation submit(AuthenticatedRequest request, AnswerSink sink) {
+        return mOpenAnswers.count(sink, counted -> accept(request, counted));
+    }
+
+    /**
+     * Accepts a request that a peer has forwarded.
+     *
+     * @param forwarded the request
+     * @param sink receives the answer
+     * @return cancels the request
+     */
+    public Cancellation receive(ForwardedRequest forwarded, AnswerSink sink) {
+        return mOpenAnswers.count(sink, counted -> acceptForwarded(forwarded, counted));
+    }
+
+    /**
+     * Recomputes for all queued requests which servers they must avoid because they are suspected
+     * of causing crashes; called at each tick.
+     */
+    public void refreshExclusions() {
+        mActive.values().forEach(ActiveRequest::refreshExclusions);
+    }
+
+    /**
+     * Returns the number of requests that are queued, running or at the issuer of their ticket, or
+     * whose answer is not yet written.
+     *
+     * @return the number of requests
+     */
+    public int active() {
+        return mOpenAnswers.count();
+    }
+
+    /**
+     * Accepts a request of a caller.
+     *
+     * @param request the request
+     * @param sink receives the answer
+     * @return cancels the request
+     */
+    private Cancellation accept(AuthenticatedRequest request, AnswerSink sink) {
         Optional<VersionedConfiguration> configuration = mConfiguration.get();
         if (configuration.isEmpty()) {
             sink.refuse(Refusal.of(ErrorKind.NOT_READY));
@@ -104,13 +147,13 @@
     }
 
     /**
-     * Accepts a request that a peer has forwarded.
+     * Accepts a request of a peer.
      *
      * @param forwarded the request
      * @param sink receives the answer
      * @return cancels the request
      */
-    public Cancellation receive(ForwardedRequest forwarded, AnswerSink sink) {
+    private Cancellation acceptForwarded(ForwardedRequest forwarded, AnswerSink sink) {
         Optional<VersionedConfiguration> configuration = mConfiguration.get();
         boolean handedOver = forwarded.purpose() == ForwardPurpose.HAND_OVER;
         if (configuration.isEmpty() || handedOver && mLeaving.getAsBoolean()) {
@@ -131,23 +174,6 @@
         return admit(new Admission(request, sink, record, progress), () -> {});
     }
 
-    /**
-     * Recomputes for all queued requests which servers they must avoid because they are suspected
-     * of causing crashes; called at each tick.
-     */
-    public void refreshExclusions() {
-        mActive.values().forEach(ActiveRequest::refreshExclusions);
-    }
-
-    /**
-     * Returns the number of requests that are queued or running.
-     *
-     * @return the number of requests
-     */
-    public int active() {
-        return mActive.size();
-    }
-
     /**
      * Admits a request: refuses it if it crashes backend servers, checks its ticket if it is not
      * idempotent, or queues it. The ticket of a request that was handed over is not checked again,
