End the attempt at a peer whose answer is stopped

What callers would see: a request handed over to a peer, whose answer this entry VM stops because an event is of another request, is missing or is too long, got nothing more: neither the rest, nor a refusal, nor another attempt. A request forwarded to the issuer of its ticket stayed counted after its caller had left.

Cause: after a failed write ForwardStream stops the peer's stream and makes no further call, as it says; a BackendListener is promised one last call all the same. PeerAnswerAdapter and IssuerAnswerSink passed the failed write on and nothing else.

Change: the failed write ends the attempt, which is then repeated or refused by the usual rules, and ends the request whose caller has left.

PeerNodeTest and PeerLossTest green.

--- a/router/src/main/java/org/magnoliaseam/route/IssuerAnswerSink.java
+++ b/router/src/main/java/org/magnoliaseam/route/IssuerAnswerSink.java
@@ -13,7 +13,7 @@
 
 /**
  * Relays the answer of the entry VM that issued a ticket to the caller and completes the decision
- * record.
+ * record. A failed write is the last call, so it ends the request.
  */
 final class IssuerAnswerSink implements AnswerSink {
 
@@ -52,7 +52,13 @@
 
     @Override
     public CompletableFuture<Void> write(ByteBuffer bytes) {
-        return mSink.write(bytes);
+        return mSink.write(bytes)
+                .whenComplete(
+                        (ignored, failure) -> {
+                            if (failure != null) {
+                                refuse(Refusal.of(ErrorKind.CALLER_GONE));
+                            }
+                        });
     }
 
     @Override
--- a/router/src/main/java/org/magnoliaseam/route/PeerAnswerAdapter.java
+++ b/router/src/main/java/org/magnoliaseam/route/PeerAnswerAdapter.java
@@ -11,7 +11,8 @@
 
 /**
  * Passes the answer of a peer to a backend listener, which checks it like the answer of a backend
- * server.
+ * server. The peer's stream is stopped without a further call after a failed write, so the failed
+ * write ends the attempt.
  */
 final class PeerAnswerAdapter implements AnswerSink {
 
@@ -34,7 +35,15 @@
 
     @Override
     public CompletableFuture<Void> write(ByteBuffer bytes) {
-        return mListener.content(bytes);
+        return mListener
+                .content(bytes)
+                .whenComplete(
+                        (ignored, failure) -> {
+                            if (failure != null) {
+                                String detail = "The answer of the peer was stopped.";
+                                mListener.failed(BackendFailure.INCOMPLETE, detail);
+                            }
+                        });
     }
 
     @Override
--- a/router/src/test/java/org/magnoliaseam/route/FlowFixture.java
+++ b/router/src/test/java/org/magnoliaseam/route/FlowFixture.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.TimeUnit;
 import org.apache.logging.log4j.LogManager;
 import org.eclipse.jetty.client.HttpClient;
+import org.magnoliaseam.FleetFixtures;
 import org.magnoliaseam.RecordFixtures;
 import org.magnoliaseam.backend.BackendCall;
 import org.magnoliaseam.backend.BackendClient;
@@ -26,6 +27,7 @@
 import org.magnoliaseam.exchange.ForwardedRequest;
 import org.magnoliaseam.fleet.FleetView;
 import org.magnoliaseam.fleet.PeerSummary;
+import org.magnoliaseam.fleet.PeerView;
 import org.magnoliaseam.fleet.ServerView;
 import org.magnoliaseam.model.BackendServerId;
 import org.magnoliaseam.model.ClientAccountId;
@@ -40,6 +42,7 @@
 import org.magnoliaseam.settings.RequestClass;
 import org.magnoliaseam.settings.VersionedConfiguration;
 import org.magnoliaseam.ticket.LedgerLimits;
+import org.magnoliaseam.ticket.Ticket;
 import org.magnoliaseam.ticket.TicketCodec;
 import org.magnoliaseam.ticket.TicketLedger;
 
@@ -74,7 +77,23 @@
                     () -> false,
                     () -> 0);
 
+    private int mSlots;
+
     FlowFixture() {
+        servers(1);
+    }
+
+    static String foreignTicket() {
+        VmId issuer = new VmId("entry-2");
+        Ticket ticket =
+                new Ticket(
+                        issuer, new Incarnation(1), 1, 0, 20_000, ACCOUNT, RecordFixtures.RELEASE);
+        return new TicketCodec(SECRET).encode(ticket);
+    }
+
+    /** Gives each server a number of slots. */
+    void servers(int slots) {
+        mSlots = slots;
         mLoop.update(view());
     }
 
@@ -91,9 +110,11 @@
         for (BackendServer server : mConfiguration.configuration().backendServers().values()) {
             servers.put(
                     server.id(),
-                    new ServerView(server, 1, false, "warm", Optional.empty(), 50, 20));
+                    new ServerView(server, mSlots, false, "warm", Optional.empty(), 50, 20));
         }
-        return new FleetView(mConfiguration, servers, List.of(), SELF, false);
+        PeerSummary summary = FleetFixtures.summary(2, true, false);
+        List<PeerView> peers = List.of(new PeerView(summary.vm(), summary, mNanos));
+        return new FleetView(mConfiguration, servers, peers, SELF, false);
     }
 
     private AuthenticatedRequest request(
@@ -143,10 +164,14 @@
     }
 
     static void token(BackendListener answer, String id, int offset) {
+        answer.content(event(id, offset));
+    }
+
+    static ByteBuffer event(String id, int offset) {
         String data =
                 "{\"id\":\"%s\",\"offset\":%d,\"choices\":[{\"delta\":{\"content\":\"x\"}}]}"
                         .formatted(id, offset);
-        answer.content(ByteBuffer.wrap(("data: " + data + "\n\n").getBytes()));
+        return ByteBuffer.wrap(("data: " + data + "\n\n").getBytes());
     }
 
     @Override
--- a/router/src/test/java/org/magnoliaseam/route/OpenAnswersTest.java
+++ b/router/src/test/java/org/magnoliaseam/route/OpenAnswersTest.java
@@ -6,10 +6,6 @@
 import org.junit.jupiter.api.Test;
 import org.magnoliaseam.RecordFixtures;
 import org.magnoliaseam.exchange.AnswerSink;
-import org.magnoliaseam.model.Incarnation;
-import org.magnoliaseam.model.VmId;
-import org.magnoliaseam.ticket.Ticket;
-import org.magnoliaseam.ticket.TicketCodec;
 
 /** Tests that a planned stop waits for the answers that callers still get. */
 class OpenAnswersTest {
@@ -18,17 +14,8 @@
 
     @Test
     void requestAtTheIssuerOfItsTicketIsOpenUntilItsAnswerEnds() {
-        Ticket ticket =
-                new Ticket(
-                        new VmId("entry-2"),
-                        new Incarnation(1),
-                        1,
-                        0,
-                        20_000,
-                        FlowFixture.ACCOUNT,
-                        RecordFixtures.RELEASE);
-        String text = new TicketCodec(FlowFixture.SECRET).encode(ticket);
-        FlowFixture.Caller caller = mSite.submit("a", RecordFixtures.RELEASE, "/a", text);
+        FlowFixture.Caller caller =
+                mSite.submit("a", RecordFixtures.RELEASE, "/a", FlowFixture.foreignTicket());
         AnswerSink answer = mSite.mForwarded.get(0);
         FlowFixture.head(answer);
         assertThat(mSite.mFlow.active()).isEqualTo(1);
