Limit the silence of a chat stream instead of its length

What callers would see: a chat stream that takes longer than four times the target of its class was given up while its tokens came, and needed another server, a slot and one of three attempts to go on; with its last attempt it was broken off.

Cause: the time limit of an attempt counted from its start to its end, whether or not the server answered.

Change: for chat the same limit counts since the last token, checked at each tick, and not while the caller does not read. An attempt that has been silent for the whole limit ends as before, as a time-out of its server. Plain services keep the limit of the whole answer: it is the only end of a request whose server does not answer.

LongStreamTest, two of three cases red before (a second attempt after 80 s), three green now. Not run: Jetty with the time limit 0, which its API defines as no limit.

--- a/router/src/main/java/org/magnoliaseam/backend/BackendCall.java
+++ b/router/src/main/java/org/magnoliaseam/backend/BackendCall.java
@@ -19,7 +19,7 @@
  * @param resumeOffset the number of tokens that the caller already has
  * @param repeatable whether the request may be repeated; if not, it gets a new connection, since
  *     the backend server may have closed a pooled one
- * @param timeoutMillis the time limit for the whole response, in milliseconds
+ * @param timeoutMillis the time limit for the whole response, in milliseconds; 0 if there is none
  */
 public record BackendCall(
         BackendServer server,
--- a/router/src/main/java/org/magnoliaseam/relay/ChatRelay.java
+++ b/router/src/main/java/org/magnoliaseam/relay/ChatRelay.java
@@ -117,11 +117,15 @@
         if (mParser.overflowed()) {
             return stop(BackendFailure.INCOMPLETE);
         }
+        if (!last.isDone()) {
+            mEvents.callerWaits(true);
+        }
         return last.whenComplete(
                 (ignored, failure) -> {
                     if (failure != null) {
                         mCallerGone = true;
                     }
+                    mEvents.callerWaits(false);
                 });
     }
 
--- a/router/src/main/java/org/magnoliaseam/relay/RelayEvents.java
+++ b/router/src/main/java/org/magnoliaseam/relay/RelayEvents.java
@@ -26,6 +26,13 @@
     /** Called when a token, or the body of a plain service's response, is relayed. */
     void token();
 
+    /**
+     * Called when the next event waits until the caller has taken the last one, and when it has.
+     *
+     * @param waits whether the backend server is not read meanwhile
+     */
+    void callerWaits(boolean waits);
+
     /** Called when the whole response has been relayed. */
     void completed();
 
--- a/router/src/main/java/org/magnoliaseam/route/ActiveRequest.java
+++ b/router/src/main/java/org/magnoliaseam/route/ActiveRequest.java
@@ -101,14 +101,14 @@
     }
 
     /**
-     * Recomputes the servers that a queued request must avoid as a suspect of crashes, and updates
-     * its queue entry if they have changed.
+     * Recomputes the servers that a queued request must avoid as a suspect of crashes. Ends an
+     * attempt that has been silent for too long.
      */
-    synchronized void refreshExclusions() {
-        if (mEnded || mAttempt != null || !mExclusions.anySuspect()) {
-            return;
-        }
-        if (mExclusions.suspect(mParts.guard().suspectExclusions(mRequest))) {
+    synchronized void tick() {
+        if (mAttempt != null) {
+            mAttempt.checkSilence(mFactory.silenceLimitNanos());
+        } else if (!mEnded
+                && mExclusions.refresh(() -> mParts.guard().suspectExclusions(mRequest))) {
             mParts.loop().replace(work());
         }
     }
--- a/router/src/main/java/org/magnoliaseam/route/Attempt.java
+++ b/router/src/main/java/org/magnoliaseam/route/Attempt.java
@@ -30,6 +30,15 @@
     /** The local monotonic time of the head of the answer; 0 before it. */
     private volatile long mHeadNanos;
 
+    /** The local monotonic time of the last sign of the target, or since the caller reads again. */
+    private volatile long mSignNanos;
+
+    /** Whether the answer is not read because the caller does not read. */
+    private volatile boolean mCallerWaits;
+
+    /** Whether the attempt was ended for its silence. */
+    private volatile boolean mTimedOut;
+
     /** The start ID of the answering backend server; empty if the answer does not contain it. */
     private volatile Optional<StartId> mStartId = Optional.empty();
 
@@ -51,6 +60,7 @@
     Attempt(ActiveRequest owner, AttemptTarget target) {
         mOwner = owner;
         mTarget = target;
+        mSignNanos = owner.nanos();
     }
 
     @Override
@@ -62,6 +72,7 @@
     @Override
     public void head(AnswerHead head) {
         mHeadNanos = mOwner.nanos();
+        mSignNanos = mHeadNanos;
         for (Header field : head.headers()) {
             if (START_ID_HEADER.equalsIgnoreCase(field.name())) {
                 mStartId = Optional.of(new StartId(field.value()));
@@ -72,13 +83,20 @@
     @Override
     public void token() {
         boolean first = mTokens == 0;
+        mSignNanos = mOwner.nanos();
         if (first) {
-            mFirstTokenNanos = mOwner.nanos();
+            mFirstTokenNanos = mSignNanos;
         }
         mTokens++;
         mOwner.attemptToken(this, first);
     }
 
+    @Override
+    public void callerWaits(boolean waits) {
+        mSignNanos = mOwner.nanos();
+        mCallerWaits = waits;
+    }
+
     @Override
     public void completed() {
         mOwner.attemptCompleted(this);
@@ -86,7 +104,12 @@
 
     @Override
     public void failed(BackendFailure failure, String detail) {
-        mOwner.attemptFailed(this, failure, detail);
+        if (mTimedOut && failure.mayHaveRun()) {
+            String silent = "No token came within the time limit.";
+            mOwner.attemptFailed(this, BackendFailure.TIMEOUT, silent);
+        } else {
+            mOwner.attemptFailed(this, failure, detail);
+        }
     }
 
     @Override
@@ -108,6 +131,20 @@
         }
     }
 
+    /**
+     * Ends an attempt at a backend server that has been silent for too long. The time in which the
+     * caller keeps the answer from being read does not count.
+     *
+     * @param limitNanos the time limit in nanoseconds
+     */
+    synchronized void checkSilence(long limitNanos) {
+        boolean silent = !mCallerWaits && mOwner.nanos() - mSignNanos >= limitNanos;
+        if (silent && !mTimedOut && mUpstream != null && mTarget instanceof AttemptTarget.Server) {
+            mTimedOut = true;
+            mUpstream.cancel();
+        }
+    }
+
     /** Cancels the attempt. */
     synchronized void cancel() {
         mCancelled = true;
--- a/router/src/main/java/org/magnoliaseam/route/AttemptFactory.java
+++ b/router/src/main/java/org/magnoliaseam/route/AttemptFactory.java
@@ -1,5 +1,6 @@
 package org.magnoliaseam.route;
 
+import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
@@ -20,9 +21,15 @@
 /** Creates the dispatcher entries, calls and relays for the attempts of one request. */
 final class AttemptFactory {
 
-    /** The ratio of the time limit of an attempt to the target for the complete answer. */
+    /**
+     * The ratio of the time limit of an attempt to the target for the complete answer. For chat it
+     * limits the silence of the server, for plain services the time until the answer.
+     */
     private static final int TIMEOUT_FACTOR = 4;
 
+    /** The time limit of a call whose silence the router limits itself. */
+    private static final long NO_TIMEOUT = 0;
+
     /** The request. */
     private final AuthenticatedRequest mRequest;
 
@@ -118,6 +125,24 @@
                 mRequest.body(),
                 mProgress.tokens(),
                 requestClass.idempotent(),
-                requestClass.targets().wholeAnswer().toMillis() * TIMEOUT_FACTOR);
+                mOutput.isPresent() ? NO_TIMEOUT : limit().toMillis());
+    }
+
+    /**
+     * Returns the time without a token after which an attempt is ended.
+     *
+     * @return nanoseconds; no limit for plain services, whose calls have one
+     */
+    long silenceLimitNanos() {
+        return mOutput.isPresent() ? limit().toNanos() : Long.MAX_VALUE;
+    }
+
+    /**
+     * Returns the time limit of an attempt.
+     *
+     * @return the limit
+     */
+    private Duration limit() {
+        return mRequest.requestClass().targets().wholeAnswer().multipliedBy(TIMEOUT_FACTOR);
     }
 }
--- a/router/src/main/java/org/magnoliaseam/route/RequestFlow.java
+++ b/router/src/main/java/org/magnoliaseam/route/RequestFlow.java
@@ -101,10 +101,10 @@
 
     /**
      * Recomputes for all queued requests which servers they must avoid because they are suspected
-     * of causing crashes; called at each tick.
+     * of causing crashes, and ends attempts that have been silent for too long.
      */
-    public void refreshExclusions() {
-        mActive.values().forEach(ActiveRequest::refreshExclusions);
+    public void tick() {
+        mActive.values().forEach(ActiveRequest::tick);
     }
 
     /**
--- a/router/src/main/java/org/magnoliaseam/route/RouteProcess.java
+++ b/router/src/main/java/org/magnoliaseam/route/RouteProcess.java
@@ -178,7 +178,7 @@
      */
     private void tick() {
         mParts.fleet().tick().ifPresent(mParts.loop()::update);
-        mParts.flow().refreshExclusions();
+        mParts.flow().tick();
         mParts.loop().tick();
         mParts.configuration()
                 .nextRequest()
--- a/router/src/main/java/org/magnoliaseam/route/ServerExclusions.java
+++ b/router/src/main/java/org/magnoliaseam/route/ServerExclusions.java
@@ -2,6 +2,7 @@
 
 import java.util.HashSet;
 import java.util.Set;
+import java.util.function.Supplier;
 import org.magnoliaseam.model.BackendServerId;
 
 /**
@@ -29,21 +30,23 @@
      * Replaces the servers that the request must avoid as a suspect of crashes.
      *
      * @param servers the backend servers
-     * @return true if they have changed
      */
-    boolean suspect(Set<BackendServerId> servers) {
-        boolean changed = !servers.equals(mSuspect);
+    void suspect(Set<BackendServerId> servers) {
         mSuspect = servers;
-        return changed;
     }
 
     /**
-     * Returns whether the request must avoid servers as a suspect of crashes.
+     * Updates the servers that the request must avoid as a suspect of crashes, if there are any.
      *
-     * @return true if it must avoid one or more
+     * @param servers computes the backend servers
+     * @return true if they have changed
      */
-    boolean anySuspect() {
-        return !mSuspect.isEmpty();
+    boolean refresh(Supplier<Set<BackendServerId>> servers) {
+        Set<BackendServerId> before = mSuspect;
+        if (!before.isEmpty()) {
+            mSuspect = servers.get();
+        }
+        return !mSuspect.equals(before);
     }
 
     /**
