Run what waits at a planned stop if no peer takes it

What callers would see: a request that waited at an entry VM of the chat path when its stop began was refused as leaving, if no peer with a fresh heartbeat was at hand in that moment, and so was one that a peer sent back: 503 though this process goes on to serve its streams and had the slot soon after.

Cause: TieredDispatcher refused each request that was not started, waiting or offered, as soon as the view said leaving.

Change: a request that arrived before the process left, or comes back from a peer, keeps waiting within the limit of its class and is handed over as soon as a peer takes it; new ones are refused as before. FifoDispatcher, for comparison, is left as it is.

Not run: PlannedStopIT, LeavingIT.

--- a/router/src/main/java/org/magnoliaseam/dispatch/TieredDispatcher.java
+++ b/router/src/main/java/org/magnoliaseam/dispatch/TieredDispatcher.java
@@ -49,6 +49,9 @@
     /** Whether this process is shutting down and accepts no new requests. */
     private boolean mLeaving;
 
+    /** The local monotonic time at which this process last stopped accepting new requests. */
+    private long mLeftNanos;
+
     /** The number of requests offered so far. */
     private long mOffers;
 
@@ -67,6 +70,9 @@
     @Override
     public List<Decision> update(FleetView view, long nowNanos) {
         mQueueLimit = view.configuration().configuration().tuning().queueLimit();
+        if (view.leaving() && !mLeaving) {
+            mLeftNanos = nowNanos;
+        }
         mLeaving = view.leaving();
         mServers.update(view, mQueues::inUse);
         mQueues.regroup();
@@ -271,8 +277,7 @@
     }
 
     /**
-     * Hands over or refuses the waiting requests that were never started, when the process shuts
-     * down.
+     * Hands over the waiting requests that were never started, when the process shuts down.
      *
      * @param nowNanos the local monotonic time
      * @param decisions takes the decisions
@@ -293,15 +298,18 @@
 
     /**
      * Tells whether a request leaves the queue of a process that is shutting down. A request that
-     * is not idempotent holds a ticket of this process, which no other process can redeem, so it
-     * keeps waiting here unless a peer takes it.
+     * was accepted before, comes back from a peer, or holds a ticket of this process, which no
+     * other process can redeem, keeps waiting here unless a peer takes it.
      *
      * @param request the request
      * @param decision the decision to hand it over or refuse it
      * @return true if the decision applies; false if the request keeps waiting here
      */
-    private static boolean leavesQueue(WaitingRequest request, Decision decision) {
-        return decision instanceof Decision.HandOver || request.work().requestClass().idempotent();
+    private boolean leavesQueue(WaitingRequest request, Decision decision) {
+        WorkItem work = request.work();
+        boolean accepted = work.arrivedNanos() <= mLeftNanos || work.handedOver();
+        return decision instanceof Decision.HandOver
+                || !accepted && work.requestClass().idempotent();
     }
 
     /**
