Take no retry budget for an attempt that no server has run

What callers would see: a request of the chat path was refused with 503 at once, with its wait hardly begun and other servers free, because the first server refused it before the start or could not be connected, and the retry budget was used up. A server that goes away uses up ten saved retries with ten refused connections.

Cause: ActiveRequest took a retry for each failure at a server. Decision 11 says that a refusal before the start does not count, since it takes no room. Same class of fault: a request is given up though it is in hand and nothing has run.

Change: the budget is asked only if a server may have run the request.

--- a/router/src/main/java/org/magnoliaseam/route/ActiveRequest.java
+++ b/router/src/main/java/org/magnoliaseam/route/ActiveRequest.java
@@ -327,8 +327,8 @@
             return;
         }
         mFailures++;
-        boolean idempotent = mRequest.requestClass().idempotent();
-        if (failure.mayHaveRun() && !idempotent) {
+        boolean mayHaveRun = failure.mayHaveRun();
+        if (mayHaveRun && !mRequest.requestClass().idempotent()) {
             refuse(
                     ErrorKind.OUTCOME_UNKNOWN,
                     "The only try may have run at " + attempt.target().name() + ".");
@@ -336,7 +336,7 @@
             refuse(ErrorKind.CRASHED_BACKEND, "The request was running at several crashes.");
         } else if (mFailures >= MAX_FAILURES) {
             refuse(failure.errorKind(), "The largest number of tries has failed.");
-        } else if (!attempt.progressed() && !mParts.guard().tryAcquireRetry()) {
+        } else if (mayHaveRun && !attempt.progressed() && !mParts.guard().tryAcquireRetry()) {
             refuse(failure.errorKind(), "The retry budget is used up.");
         } else {
             mRecord.add(RecordEventKind.RETRIED, attempt.target().name(), failure.name());
--- a/router/src/test/java/org/magnoliaseam/route/FlowFixture.java
+++ b/router/src/test/java/org/magnoliaseam/route/FlowFixture.java
@@ -58,6 +58,7 @@
     final List<BackendListener> mTries = new ArrayList<>();
     final List<AnswerSink> mForwarded = new ArrayList<>();
     private final List<Try> mRunning = new ArrayList<>();
+    boolean mRetryBudgetLeft = true;
     long mNanos = TimeUnit.HOURS.toNanos(1);
     final VersionedConfiguration mConfiguration = RecordFixtures.configuration("");
     final DispatchLoop mLoop =
@@ -230,7 +231,7 @@
 
     @Override
     public boolean tryAcquireRetry() {
-        return true;
+        return mRetryBudgetLeft;
     }
 
     @Override
