Wait for the peer that is dialled again

What callers would see: a request with a ticket of another entry VM was refused as OUTCOME_UNKNOWN at once, though nothing was sent, if the connection to that VM had just been lost, for instance after a silence of 2 s, and was being dialled again.

Cause: PeerNode.reach took a peer that has a dialer for settled; only entry VMs that are dialled on demand were waited for.

A peer whose first attempt after the loss has failed is not waited for.

PeerLossTest.peerThatIsDialledAgainIsReached, red before; peerThatDoesNotComeBackIs- NotReached holds the other side, green before and now. Tests of the package peer green (PeerNodeTest, PeerStressTest, PeerSecurityTest, OperatorQueryTest).

--- a/router/src/main/java/org/magnoliaseam/peer/Dialer.java
+++ b/router/src/main/java/org/magnoliaseam/peer/Dialer.java
@@ -45,8 +45,8 @@
     /** The connection that is up, or null. */
     private volatile DialledLink mLink;
 
-    /** Completes when the first connection attempt has succeeded or failed. */
-    private final CompletableFuture<Void> mSettled = new CompletableFuture<>();
+    /** Completes when the first connection attempt, or the first one after a loss, has ended. */
+    private volatile CompletableFuture<Void> mSettled = new CompletableFuture<>();
 
     /** Whether to dial again when the connection is lost. */
     private boolean mReconnect;
@@ -91,13 +91,18 @@
     public void run() {
         int failures = 0;
         do {
-            failures = connectOnce() ? 0 : failures + 1;
-            mSettled.complete(null);
+            if (connectOnce()) {
+                failures = 0;
+            } else {
+                failures++;
+                mSettled.complete(null);
+            }
         } while (awaitRedial(failures));
+        mSettled.complete(null);
     }
 
     /**
-     * Returns the completion of the first connection attempt.
+     * Returns the completion of the first connection attempt, after a loss of the first one since.
      *
      * @return completes when the attempt has succeeded or failed
      */
@@ -261,6 +266,7 @@
         try {
             connection.run(in, mContext.threads());
         } finally {
+            mSettled = new CompletableFuture<>();
             mLink = null;
             mContext.dispatcher().down(mPeer.vm());
         }
--- a/router/src/main/java/org/magnoliaseam/peer/PeerNetwork.java
+++ b/router/src/main/java/org/magnoliaseam/peer/PeerNetwork.java
@@ -54,8 +54,9 @@
     default void allowDialling(List<PeerAddress> members) {}
 
     /**
-     * Dials an allowed entry VM unless a connection is up. The connection is closed when it has
-     * been idle for some time.
+     * Dials an allowed entry VM unless a connection is up; the connection is closed when it has
+     * been idle for some time. A peer whose connection was just lost is being dialled again, which
+     * is waited for.
      *
      * @param peer the entry VM
      * @param incarnation the run of the entry VM
--- a/router/src/main/java/org/magnoliaseam/peer/PeerNode.java
+++ b/router/src/main/java/org/magnoliaseam/peer/PeerNode.java
@@ -214,12 +214,12 @@
     @Override
     public synchronized CompletableFuture<Boolean> reach(VmId peer, Incarnation incarnation) {
         PeerAddress address = mAllowed.get(peer);
-        boolean dialled = mDialers.containsKey(peer) || link(peer).isPresent();
-        if (mClosed || dialled || address == null) {
+        Optional<Dialer> dialer = Optional.ofNullable(mDialers.get(peer));
+        boolean dialled = dialer.isPresent();
+        if (mClosed || link(peer).isPresent() || !dialled && address == null) {
             return CompletableFuture.completedFuture(connected(peer, incarnation));
         }
-        return mTemporaryDialers
-                .use(peer, () -> startDialer(address, false))
+        return dialer.or(() -> mTemporaryDialers.use(peer, () -> startDialer(address, false)))
                 .map(Dialer::settled)
                 .orElseGet(() -> CompletableFuture.completedFuture(null))
                 .thenApplyAsync(settled -> connected(peer, incarnation), mHandlers);
--- a/router/src/test/java/org/magnoliaseam/peer/PeerLossTest.java
+++ b/router/src/test/java/org/magnoliaseam/peer/PeerLossTest.java
@@ -8,6 +8,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
@@ -72,6 +73,26 @@
             assertThat(awaitRefusal(sink)).isEqualTo(ErrorKind.NO_BACKEND_SERVER);
         }
 
+        @Test
+        void peerThatIsDialledAgainIsReached() throws Exception {
+            mPeer.close();
+            await().until(() -> !connected());
+            CompletableFuture<Boolean> reached =
+                    mNode.mNode.reach(RawPeer.SELF.vm(), RawPeer.SELF.incarnation());
+            mPeer = RawPeer.acceptAuthenticated(mServer);
+            assertThat(reached.get(5, TimeUnit.SECONDS)).isTrue();
+        }
+
+        @Test
+        void peerThatDoesNotComeBackIsNotReached() throws Exception {
+            mServer.close();
+            mPeer.close();
+            await().until(() -> !connected());
+            CompletableFuture<Boolean> reached =
+                    mNode.mNode.reach(RawPeer.SELF.vm(), RawPeer.SELF.incarnation());
+            assertThat(reached.get(5, TimeUnit.SECONDS)).isFalse();
+        }
+
         @Test
         void requestThatWasSentHasAnUnknownOutcome() throws Exception {
             RecordingSink sink = new RecordingSink();
