Send a path with two slashes to the chosen backend server

What callers could do: a path such as //other.example/a of a plain service was sent to the host other.example instead of the backend server. Whether the HTTP server lets such a path pass was not run.

Cause: JettyBackendClient resolved the path against the address of the server, and a reference that begins with two slashes names a host.

Change: the address is put together from scheme, host and path.

--- a/router/src/main/java/org/magnoliaseam/backend/JettyBackendClient.java
+++ b/router/src/main/java/org/magnoliaseam/backend/JettyBackendClient.java
@@ -41,7 +41,9 @@
 
     @Override
     public Cancellation start(BackendCall call, BackendListener listener) {
-        URI address = call.server().address().resolve(call.path());
+        // Resolving the path would take the host of a path that begins with two slashes.
+        URI base = call.server().address();
+        URI address = URI.create(base.getScheme() + "://" + base.getRawAuthority() + call.path());
         HttpClient client = call.repeatable() ? mPooled : mSingleUse;
         Request request = client.newRequest(address).method(call.method());
         request.headers(
