Merge the same cause on the chat path

Gateway logs overdue requests without a clock at its creation, which the tests of failed submissions do not give.

--- a/router/src/main/java/org/magnoliaseam/gateway/Gateway.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/Gateway.java
@@ -28,8 +28,11 @@
     /** The components that each request uses. */
     private final GatewayParts mParts;
 
-    /** The local monotonic time before which overdue requests are not logged. */
-    private long mNextOverdueLogNanos;
+    /** Whether overdue requests have been logged. */
+    private boolean mOverdueLogged;
+
+    /** The local monotonic time of the last log line on overdue requests. */
+    private long mOverdueLoggedNanos;
 
     /**
      * Creates a gateway.
@@ -38,7 +41,6 @@
      */
     public Gateway(GatewayParts parts) {
         mParts = parts;
-        mNextOverdueLogNanos = parts.clock().nanos();
     }
 
     /**
@@ -84,12 +86,13 @@
     /** Logs that requests are open well after their deadline, which only a failure explains. */
     private void logOverdue() {
         long now = mParts.clock().nanos();
-        if (now - mNextOverdueLogNanos < 0) {
+        if (mOverdueLogged && now - mOverdueLoggedNanos < OVERDUE_LOG_NANOS) {
             return;
         }
         List<GatewayRequest> overdue = overdueRequests(now);
         if (!overdue.isEmpty()) {
-            mNextOverdueLogNanos = now + OVERDUE_LOG_NANOS;
+            mOverdueLogged = true;
+            mOverdueLoggedNanos = now;
             LOG.error(
                     "gateway: requests are open after their deadline, requests={} request={}",
                     overdue.size(),
--- a/router/src/main/java/org/magnoliaseam/route/RequestFlow.java
+++ b/router/src/main/java/org/magnoliaseam/route/RequestFlow.java
@@ -6,6 +6,8 @@
 import java.util.function.BooleanSupplier;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
 import org.magnoliaseam.dispatch.Decision;
 import org.magnoliaseam.error.ErrorKind;
 import org.magnoliaseam.error.Refusal;
@@ -31,6 +33,9 @@
 /** Accepts requests from callers and peers and executes the decisions of the dispatcher. */
 public final class RequestFlow implements RequestService {
 
+    /** The log. */
+    private static final Logger LOG = LogManager.getLogger("route");
+
     /** The dependencies that all requests share. */
     private final RequestParts mParts;
 
@@ -49,6 +54,9 @@
     /** The requests that are queued or running. */
     private final Map<RequestId, ActiveRequest> mActive = new ConcurrentHashMap<>();
 
+    /** The requests whose answer has not ended. */
+    private final OpenAnswers mOpenAnswers = new OpenAnswers();
+
     /** The limits of the client accounts. */
     private final Map<ClientAccountId, AccountLimiter> mLimiters = new ConcurrentHashMap<>();
 
@@ -77,6 +85,46 @@
 
     @Override
     public Cancellation submit(AuthenticatedRequest request, AnswerSink sink) {
+        return mOpenAnswers.count(sink, counted -> accept(request, counted));
+    }
+
+    /**
+     * Accepts a request that a peer has forwarded.
+     *
+     * @param forwarded the request
+     * @param sink receives the answer
+     * @return cancels the request
+     */
+    public Cancellation receive(ForwardedRequest forwarded, AnswerSink sink) {
+        return mOpenAnswers.count(sink, counted -> acceptForwarded(forwarded, counted));
+    }
+
+    /**
+     * Recomputes for all queued requests which servers they must avoid because they are suspected
+     * of causing crashes, and ends attempts that have been silent for too long.
+     */
+    public void tick() {
+        mActive.values().forEach(ActiveRequest::tick);
+    }
+
+    /**
+     * Returns the number of requests that are queued, running or at the issuer of their ticket, or
+     * whose answer is not yet written.
+     *
+     * @return the number of requests
+     */
+    public int active() {
+        return mOpenAnswers.count();
+    }
+
+    /**
+     * Accepts a request of a caller.
+     *
+     * @param request the request
+     * @param sink receives the answer
+     * @return cancels the request
+     */
+    private Cancellation accept(AuthenticatedRequest request, AnswerSink sink) {
         Optional<VersionedConfiguration> configuration = mConfiguration.get();
         if (configuration.isEmpty()) {
             sink.refuse(Refusal.of(ErrorKind.NOT_READY));
@@ -99,13 +147,13 @@
     }
 
     /**
-     * Accepts a request that a peer has forwarded.
+     * Accepts a request of a peer.
      *
      * @param forwarded the request
      * @param sink receives the answer
      * @return cancels the request
      */
-    public Cancellation receive(ForwardedRequest forwarded, AnswerSink sink) {
+    private Cancellation acceptForwarded(ForwardedRequest forwarded, AnswerSink sink) {
         Optional<VersionedConfiguration> configuration = mConfiguration.get();
         boolean handedOver = forwarded.purpose() == ForwardPurpose.HAND_OVER;
         if (configuration.isEmpty() || handedOver && mLeaving.getAsBoolean()) {
@@ -126,23 +174,6 @@
         return admit(new Admission(request, sink, record, progress), () -> {});
     }
 
-    /**
-     * Recomputes for all queued requests which servers they must avoid because they are suspected
-     * of causing crashes; called at each tick.
-     */
-    public void refreshExclusions() {
-        mActive.values().forEach(ActiveRequest::refreshExclusions);
-    }
-
-    /**
-     * Returns the number of requests that are queued or running.
-     *
-     * @return the number of requests
-     */
-    public int active() {
-        return mActive.size();
-    }
-
     /**
      * Admits a request: refuses it if it crashes backend servers, checks its ticket if it is not
      * idempotent, or queues it. The ticket of a request that was handed over is not checked again,
@@ -233,20 +264,35 @@
     }
 
     /**
-     * Executes a decision.
+     * Executes a decision; a failure ends the request, so that its caller is not left waiting.
      *
      * @param decision the decision
      */
     private void execute(Decision decision) {
         ActiveRequest active = mActive.get(decision.id());
-        if (decision instanceof Decision.Start start) {
-            if (active == null) {
-                mParts.loop().finished(start.id());
-            } else {
-                active.start(start);
+        if (active == null) {
+            if (decision instanceof Decision.Start) {
+                mParts.loop().finished(decision.id());
             }
-        } else if (active == null) {
             return;
+        }
+        try {
+            execute(decision, active);
+        } catch (RuntimeException e) {
+            LOG.error("route: a decision failed, request={}", decision.id(), e);
+            active.abandon();
+        }
+    }
+
+    /**
+     * Executes a decision about a request that has not ended.
+     *
+     * @param decision the decision
+     * @param active the request
+     */
+    private static void execute(Decision decision, ActiveRequest active) {
+        if (decision instanceof Decision.Start start) {
+            active.start(start);
         } else if (decision instanceof Decision.Refuse refuse) {
             active.refuse(refuse.kind(), refuse.reason());
         } else if (decision instanceof Decision.Preempt preempt) {
