--- a/router/src/main/java/org/magnoliaseam/route/GatewayProcess.java
+++ b/router/src/main/java/org/magnoliaseam/route/GatewayProcess.java
@@ -26,7 +26,7 @@
     private static final long TICK_MILLIS = 20;
 
     /** The interval between checks of the settings file, in milliseconds. */
-    private static final long RELOAD_MILLIS = 2000;
+    private static final long RELOAD_MILLIS = 500;
 
     /** The interval of closing idle connections to leaving backend servers, in milliseconds. */
     private static final long CLOSE_LEAVING_MILLIS = 500;
@@ -146,7 +146,7 @@
                 CLOSE_LEAVING_MILLIS,
                 TimeUnit.MILLISECONDS);
         mTimers.scheduleWithFixedDelay(
-                () -> mReload.check(false), RELOAD_MILLIS, RELOAD_MILLIS, TimeUnit.MILLISECONDS);
+                mReload::check, RELOAD_MILLIS, RELOAD_MILLIS, TimeUnit.MILLISECONDS);
         StoreSettings settings = mReload.get();
         LOG.info(
                 "route: started, vm={} domain={} callers={}",
--- a/router/src/main/java/org/magnoliaseam/route/GatewayRunner.java
+++ b/router/src/main/java/org/magnoliaseam/route/GatewayRunner.java
@@ -31,7 +31,8 @@
     public static int run(StoreSettings settings, Path file) {
         try {
             SettingsReloader reload = new SettingsReloader(settings, file);
-            Signal.handle(new Signal(RELOAD_SIGNAL), signal -> reload.check(true));
+            // The launcher makes the process ignore the signal; then this has no effect.
+            Signal.handle(new Signal(RELOAD_SIGNAL), signal -> reload.check());
             GatewayProcess process = new GatewayFactory(reload).process();
             process.start();
             Runtime.getRuntime()
--- a/router/src/main/java/org/magnoliaseam/route/SettingsReloader.java
+++ b/router/src/main/java/org/magnoliaseam/route/SettingsReloader.java
@@ -1,20 +1,19 @@
 package org.magnoliaseam.route;
 
-import java.io.IOException;
-import java.nio.file.Files;
 import java.nio.file.Path;
-import java.nio.file.attribute.FileTime;
 import java.util.List;
 import java.util.function.Supplier;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
+import org.magnoliaseam.error.Result;
 import org.magnoliaseam.settings.Fault;
 import org.magnoliaseam.settings.StoreSettings;
+import org.magnoliaseam.settings.load.SettingsFile;
 import org.magnoliaseam.settings.load.StoreSettingsLoader;
 
 /**
- * Reloads the settings file when it has changed. If the new settings are invalid, the last valid
- * ones stay in force. Changed addresses take effect only at the next start.
+ * Reloads the settings file when its content has changed. If the new settings are invalid, the last
+ * valid ones stay in force. Changed addresses take effect only at the next start.
  */
 final class SettingsReloader implements Supplier<StoreSettings> {
 
@@ -27,8 +26,8 @@
     /** The settings in force. */
     private volatile StoreSettings mSettings;
 
-    /** The modification time of the file at the last check. */
-    private FileTime mModified;
+    /** The content of the file at the last check, or why it had none; null before the first. */
+    private Result<String, Fault> mContent;
 
     /**
      * Creates a reloader.
@@ -39,7 +38,6 @@
     SettingsReloader(StoreSettings settings, Path file) {
         mSettings = settings;
         mFile = file;
-        mModified = modificationTime();
     }
 
     @Override
@@ -47,18 +45,18 @@
         return mSettings;
     }
 
-    /**
-     * Reloads the file if it has changed.
-     *
-     * @param force whether to reload it even if it has not changed
-     */
-    synchronized void check(boolean force) {
-        FileTime now = modificationTime();
-        if (!force && now.equals(mModified)) {
-            return;
+    /** Reloads the file if its content has changed since the last check. */
+    synchronized void check() {
+        try {
+            Result<String, Fault> content = SettingsFile.read(mFile);
+            if (content.equals(mContent)) {
+                return;
+            }
+            mContent = content;
+            new StoreSettingsLoader().load(mFile).fold(this::apply, SettingsReloader::logFaults);
+        } catch (RuntimeException e) {
+            LOG.error("settings: the check failed", e);
         }
-        mModified = now;
-        new StoreSettingsLoader().load(mFile).fold(this::apply, SettingsReloader::logFaults);
     }
 
     /**
@@ -68,8 +66,10 @@
      * @return null
      */
     private Void apply(StoreSettings settings) {
-        LOG.info("settings: read again, changed={}", !settings.equals(mSettings));
-        mSettings = settings;
+        if (!settings.equals(mSettings)) {
+            mSettings = settings;
+            LOG.info("settings: read again, changed=true");
+        }
         return null;
     }
 
@@ -83,17 +83,4 @@
         faults.forEach(fault -> LOG.error("settings: refused, {}", fault.text()));
         return null;
     }
-
-    /**
-     * Returns the modification time of the file.
-     *
-     * @return the time; the start of 1970 if the file cannot be accessed
-     */
-    private FileTime modificationTime() {
-        try {
-            return Files.getLastModifiedTime(mFile);
-        } catch (IOException e) {
-            return FileTime.fromMillis(0);
-        }
-    }
 }
--- a/testbed/src/main/java/org/magnoliaseam/testbed/harness/ManagedProcess.java
+++ b/testbed/src/main/java/org/magnoliaseam/testbed/harness/ManagedProcess.java
@@ -122,6 +122,15 @@
         return mProcess.isAlive();
     }
 
+    /**
+     * Tells whether the shell that launches a Java program has been replaced by it.
+     *
+     * @return whether the process runs Java
+     */
+    public boolean launched() {
+        return mProcess.info().command().filter(path -> path.endsWith("/java")).isPresent();
+    }
+
     /**
      * Sends a signal unless the process has ended.
      *
--- a/testbed/src/main/java/org/magnoliaseam/testbed/soak/SoakRouter.java
+++ b/testbed/src/main/java/org/magnoliaseam/testbed/soak/SoakRouter.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -19,8 +20,8 @@
     /** The stop grace period of the settings and a margin. */
     private static final Duration STOP_LIMIT = Duration.ofSeconds(12);
 
-    /** The time after a start in which the signal to reload is not sent, in nanoseconds. */
-    private static final long STARTING_NANOS = 2_000_000_000L;
+    /** The setting that reloads change, without its last digit. */
+    private static final String CHANGED_SETTING = "retry-slack = 5";
 
     /** The name of the VM. */
     private final String mName;
@@ -31,6 +32,12 @@
     /** The folder for settings and output. */
     private final Path mFolder;
 
+    /** The settings at the start. */
+    private final String mSettings;
+
+    /** The file of the settings. */
+    private final Path mFile;
+
     /** The port for callers. */
     private final ListenAddress mCallers;
 
@@ -49,8 +56,8 @@
     /** The number of faults that keep the process stopped. */
     private int mDown;
 
-    /** The local monotonic time of the last start. */
-    private long mStartedNanos;
+    /** The number of changes of the settings so far. */
+    private int mChanges;
 
     /** The number of starts so far. */
     private volatile int mStarts;
@@ -87,17 +94,17 @@
         mFolder = folder;
         mCallers = callers;
         mStoreLink = storeLink;
-        Path file = folder.resolve(name + ".toml");
-        Files.writeString(file, settings);
+        mSettings = settings;
+        mFile = folder.resolve(name + ".toml");
+        Files.writeString(mFile, settings);
         mCommand = new ArrayList<>(command);
-        mCommand.add(file.toString());
+        mCommand.add(mFile.toString());
     }
 
     /** Starts the process unless a fault keeps it stopped. */
     synchronized void start() {
         if (mDown == 0 && (mProcess == null || !mProcess.alive())) {
             mStarts++;
-            mStartedNanos = System.nanoTime();
             mProcess = new ManagedProcess(mName, mFolder, mCommand);
         }
     }
@@ -203,13 +210,17 @@
     }
 
     /**
-     * Makes the process reload its settings unless it was started recently. During its start the
-     * signal would end the Java runtime, which has no handler yet.
+     * Changes the settings of the process and sends it the signal to reload them.
      *
      * @return does nothing
+     * @throws IOException if the settings cannot be written
      */
-    synchronized AutoCloseable reload() {
-        if (System.nanoTime() - mStartedNanos > STARTING_NANOS) {
+    synchronized AutoCloseable reload() throws IOException {
+        Path changed = mFolder.resolve(mName + ".changed");
+        String value = CHANGED_SETTING + ++mChanges % 2;
+        Files.writeString(changed, mSettings.replace(CHANGED_SETTING + 0, value));
+        Files.move(changed, mFile, StandardCopyOption.ATOMIC_MOVE);
+        if (mProcess.launched()) {
             mProcess.send(Signal.HUP);
         }
         return () -> {};
--- a/testbed/src/test/java/org/magnoliaseam/testbed/proof/KeysTakenAwayIT.java
+++ b/testbed/src/test/java/org/magnoliaseam/testbed/proof/KeysTakenAwayIT.java
@@ -12,7 +12,6 @@
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
-import org.magnoliaseam.testbed.harness.Signal;
 import org.magnoliaseam.testbed.raw.RawServer;
 
 /** Tests that no request runs with a key that the configuration in force does not hold. */
@@ -136,7 +135,7 @@
         void reloadedAfterTheLastKeyRunsNothing() throws Exception {
             configure(WITHOUT_KEY);
             awaitStatus("key-1", 401);
-            mSite.router().send(Signal.HUP);
+            mSite.reload("retry-slack = 7");
             assertNothingRuns();
         }
     }
--- a/testbed/src/test/java/org/magnoliaseam/testbed/proof/RawSite.java
+++ b/testbed/src/test/java/org/magnoliaseam/testbed/proof/RawSite.java
@@ -8,11 +8,13 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
 import java.time.Duration;
 import java.util.List;
 import java.util.Locale;
 import org.magnoliaseam.testbed.harness.ManagedProcess;
 import org.magnoliaseam.testbed.harness.Ports;
+import org.magnoliaseam.testbed.harness.Signal;
 import org.magnoliaseam.testbed.http.ListenAddress;
 import org.magnoliaseam.testbed.raw.RawMessage;
 import org.magnoliaseam.testbed.raw.RawReader;
@@ -133,6 +135,13 @@
         await().atMost(TIMEOUT).until(this::ready);
     }
 
+    /** Adds a line to the settings, sends SIGHUP and waits until the router has read them. */
+    void reload(String line) throws IOException {
+        Files.writeString(mFolder.resolve("settings.toml"), line + "\n", StandardOpenOption.APPEND);
+        mRouter.send(Signal.HUP);
+        await().atMost(TIMEOUT).until(() -> mRouter.output().contains("read again, changed=true"));
+    }
+
     private boolean ready() {
         try (Socket socket = new Socket(mReadiness.host(), mReadiness.port())) {
             write(socket, "GET /-/ready HTTP/1.1\r\nHost: h\r\n\r\n");
--- a/testbed/src/test/java/org/magnoliaseam/testbed/proof/StoreDeploymentIT.java
+++ b/testbed/src/test/java/org/magnoliaseam/testbed/proof/StoreDeploymentIT.java
@@ -12,6 +12,7 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
 import java.time.Duration;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
@@ -33,6 +34,8 @@
 
     private static final Duration TIMEOUT = Duration.ofSeconds(15);
 
+    private static final Duration POLL = Duration.ofMillis(10);
+
     private static final String CONFIGURATION =
             """
             {"version":%d,"routes":[\
@@ -358,9 +361,36 @@
 
         @Test
         void hangUpReadsTheSettingsAgain() throws Exception {
+            Files.writeString(
+                    mFolder.resolve("settings.toml"),
+                    "retry-slack = 7\n",
+                    StandardOpenOption.APPEND);
             mRouter.send(Signal.HUP);
-            await().atMost(TIMEOUT).until(() -> mRouter.output().contains("read again"));
+            await().atMost(TIMEOUT)
+                    .until(() -> mRouter.output().contains("read again, changed=true"));
             assertThat(call("GET", "/lookup/1").statusCode()).isEqualTo(200);
         }
+
+        /** Guards against a SIGHUP that ends a process before its program has a handler. */
+        @Test
+        void hangUpsFromTheStartOnEndNothing() throws Exception {
+            mRouter.kill();
+            mRouter =
+                    new ManagedProcess(
+                            "router", mFolder, command(mFolder.resolve("settings.toml")));
+            await().atMost(TIMEOUT).pollInterval(POLL).until(mRouter::launched);
+            await().atMost(TIMEOUT)
+                    .pollInterval(POLL)
+                    .until(
+                            () -> {
+                                mRouter.send(Signal.HUP);
+                                return !mRouter.alive() || ready(mReadiness) == 200;
+                            });
+            assertThat(mRouter.alive()).as(mRouter.output()).isTrue();
+            for (int i = 0; i < 20; i++) {
+                mRouter.send(Signal.HUP);
+                assertThat(call("GET", "/lookup/1").statusCode()).isEqualTo(200);
+            }
+        }
     }
 }
