Let sound servers fall silent in the fault soak

The soak could not find this: its silent links lose bytes and end with a closed connection, and no check asked why a request had ended.

Change: ServerStandIn handles and sends nothing while it is silent and then goes on where it was, before the first byte and in the middle of a stream. Two kinds of faults, one server and all of them, overlap with themselves and with all others. SoakSilenceChecker: a request whose only trouble was silent servers gets no 502 or 504 and is not broken off before nine tenths of its deadline. Beside other faults the cause of an end is unknown, so seeds from 10,000 on draw silences, configurations and reloads alone.

Seeds: those below 10,000 draw what they drew, and silences from a draw of their own beside it.

Remains: with other faults beside them, silences are checked by the other promises alone.

--- a/testbed/src/main/java/org/magnoliaseam/testbed/soak/SoakFault.java
+++ b/testbed/src/main/java/org/magnoliaseam/testbed/soak/SoakFault.java
@@ -71,11 +71,18 @@
     /** Makes a server add a very long retry delay to the answers of requests that it serves. */
     SERVER_STATES_WITH_SUCCESS(200, 2000, stated(faulty(0, "1e9"))),
     /** Makes a server add an unknown value of the field for servers that are leaving. */
-    SERVER_STATES_UNKNOWN(200, 2000, stated(new StatedNotices("perhaps", List.of("0"), 0)));
+    SERVER_STATES_UNKNOWN(200, 2000, stated(new StatedNotices("perhaps", List.of("0"), 0))),
+    /** Makes a sound server fall silent and go on. */
+    SERVER_HANGS(300, 1500, (site, target) -> site.server(target).hang()),
+    /** Makes all servers fall silent at once and go on. */
+    SERVERS_HANG(300, 1500, (site, target) -> site.hang());
 
-    /** The number of faults that plans draw; the later ones have a plan of their own. */
+    /** The number of faults that plans draw; the later ones have plans of their own. */
     static final int FIRST_NOTICE = SERVER_SAYS_LEAVING.ordinal();
 
+    /** The position of the first fault that only makes servers silent. */
+    static final int FIRST_SILENCE = SERVER_HANGS.ordinal();
+
     /** The shortest and the longest duration in milliseconds. */
     private final int[] mMillis;
 
--- a/testbed/src/main/java/org/magnoliaseam/testbed/soak/SoakPlan.java
+++ b/testbed/src/main/java/org/magnoliaseam/testbed/soak/SoakPlan.java
@@ -7,6 +7,9 @@
 /** Draws the faults of a soak test from a seed: single, in series, and overlapping. */
 final class SoakPlan {
 
+    /** The first seed that draws silences of sound servers and planned changes alone. */
+    static final long FIRST_SILENCE_SEED = 10_000;
+
     /** The shortest and the longest time between two draws in milliseconds. */
     private static final int[] GAP_MILLIS = {150, 1400};
 
@@ -16,6 +19,12 @@
     /** Tells the draw of notices from that of the other faults of a seed. */
     private static final long NOTICE_SEED = 0x5eedL << 32;
 
+    /** The shortest and the longest time between two draws of silences in milliseconds. */
+    private static final int[] SILENCE_GAP_MILLIS = {500, 3500};
+
+    /** Tells the draw of silences from that of the other faults of a seed. */
+    private static final long SILENCE_SEED = 0x511eL << 32;
+
     /** The shortest and the longest time between the faults of a series in milliseconds. */
     private static final int[] SERIES_GAP_MILLIS = {200, 1200};
 
@@ -36,11 +45,19 @@
     static List<SoakStep> draw(long seed, long millis, int targets) {
         List<SoakFault> all = List.of(SoakFault.values());
         List<SoakFault> first = all.subList(0, SoakFault.FIRST_NOTICE);
-        List<SoakFault> notices = all.subList(SoakFault.FIRST_NOTICE, all.size());
+        List<SoakFault> notices = all.subList(SoakFault.FIRST_NOTICE, SoakFault.FIRST_SILENCE);
+        List<SoakFault> silences = all.subList(SoakFault.FIRST_SILENCE, all.size());
+        if (seed >= FIRST_SILENCE_SEED) {
+            List<SoakFault> alone = new ArrayList<>(silences);
+            alone.addAll(List.of(SoakFault.CONFIGURE, SoakFault.RELOAD));
+            return draw(new Random(seed), alone, GAP_MILLIS, millis, targets);
+        }
         List<SoakStep> steps = draw(new Random(seed), first, GAP_MILLIS, millis, targets);
-        // A draw of their own, so that the seeds of earlier failures draw what they drew then.
+        // Draws of their own, so that the seeds of earlier failures draw what they drew then.
         Random random = new Random(seed ^ NOTICE_SEED);
         steps.addAll(draw(random, notices, NOTICE_GAP_MILLIS, millis, targets));
+        random = new Random(seed ^ SILENCE_SEED);
+        steps.addAll(draw(random, silences, SILENCE_GAP_MILLIS, millis, targets));
         return steps;
     }
 
--- a/testbed/src/main/java/org/magnoliaseam/testbed/soak/SoakRun.java
+++ b/testbed/src/main/java/org/magnoliaseam/testbed/soak/SoakRun.java
@@ -91,6 +91,7 @@
             List<String> violations = new ArrayList<>(mViolations);
             violations.addAll(new SoakChecker(site).check(callers.calls()));
             violations.addAll(new SoakNoticeChecker(site).check(callers.calls()));
+            violations.addAll(new SoakSilenceChecker(site).check(callers.calls()));
             long whole = callers.calls().stream().filter(SoakRun::good).count();
             return new Outcome(callers.calls().size(), (int) whole, steps.size(), violations);
         } finally {
--- a/testbed/src/main/java/org/magnoliaseam/testbed/soak/SoakServer.java
+++ b/testbed/src/main/java/org/magnoliaseam/testbed/soak/SoakServer.java
@@ -36,6 +36,9 @@
     /** When the link to the server or the server was disturbed. */
     private final DisturbanceLog mDisturbances = new DisturbanceLog();
 
+    /** When the server was silent; these intervals are disturbances too. */
+    private final DisturbanceLog mSilences = new DisturbanceLog();
+
     /** All backend servers of this slot in the order of their starts. */
     private final List<Instance> mInstances = new CopyOnWriteArrayList<>();
 
@@ -184,6 +187,31 @@
         return mDisturbances;
     }
 
+    /**
+     * Returns when the server of the slot was silent.
+     *
+     * @return the silences
+     */
+    DisturbanceLog silences() {
+        return mSilences;
+    }
+
+    /**
+     * Makes the current backend server fall silent.
+     *
+     * @return makes it go on
+     */
+    synchronized AutoCloseable hang() {
+        DisturbanceLog.Interval disturbance = mDisturbances.begin();
+        DisturbanceLog.Interval silence = mSilences.begin();
+        AutoCloseable end = current().mServer.fallSilent();
+        return () -> {
+            end.close();
+            silence.end();
+            disturbance.end();
+        };
+    }
+
     /**
      * Disturbs the link to the current backend server.
      *
--- a/testbed/src/main/java/org/magnoliaseam/testbed/soak/SoakSite.java
+++ b/testbed/src/main/java/org/magnoliaseam/testbed/soak/SoakSite.java
@@ -253,6 +253,20 @@
         return () -> {};
     }
 
+    /**
+     * Makes all backend servers fall silent.
+     *
+     * @return makes them go on
+     */
+    AutoCloseable hang() {
+        List<AutoCloseable> ends = mServers.stream().map(SoakServer::hang).toList();
+        return () -> {
+            for (AutoCloseable end : ends) {
+                end.close();
+            }
+        };
+    }
+
     /**
      * Compacts the history of the store.
      *
--- a/testbed/src/main/java/org/magnoliaseam/testbed/store/ServerStandIn.java
+++ b/testbed/src/main/java/org/magnoliaseam/testbed/store/ServerStandIn.java
@@ -67,6 +67,12 @@
     /** The time of its start, which grows with each start, in Unix milliseconds. */
     private volatile long mStartMark = System.currentTimeMillis();
 
+    /** The number of faults that keep the server silent. */
+    private int mSilences;
+
+    /** Completed unless the server is silent. */
+    private CompletableFuture<Void> mHeard = CompletableFuture.completedFuture(null);
+
     /**
      * Records a request that arrived.
      *
@@ -108,7 +114,7 @@
     public ServerStandIn(String id, ListenAddress address, long delayMillis) throws Exception {
         mId = id;
         mDelayMillis = delayMillis;
-        mServer = new StandInServer(address, this::handle).start();
+        mServer = new StandInServer(address, this::receive).start();
     }
 
     /**
@@ -129,6 +135,42 @@
         mNotices = notices;
     }
 
+    /**
+     * Makes the server handle and send nothing. Connections stay open and nothing is lost.
+     *
+     * @return makes it go on where it was unless another call keeps it silent
+     */
+    public synchronized AutoCloseable fallSilent() {
+        if (mSilences++ == 0) {
+            mHeard = new CompletableFuture<>();
+        }
+        return this::endSilence;
+    }
+
+    /** Ends one fault that kept the server silent. */
+    private synchronized void endSilence() {
+        if (--mSilences == 0) {
+            mHeard.complete(null);
+        }
+    }
+
+    /**
+     * Runs a step at once, or when the server is no longer silent.
+     *
+     * @param step the step
+     */
+    private void whenHeard(Runnable step) {
+        CompletableFuture<Void> heard;
+        synchronized (this) {
+            heard = mHeard;
+        }
+        if (heard.isDone()) {
+            step.run();
+        } else {
+            heard.thenRunAsync(step);
+        }
+    }
+
     /** Makes the next entry the one of a later start under the same id. */
     public void startAgain() {
         mStartMark = Math.max(mStartMark + 1, System.currentTimeMillis());
@@ -212,6 +254,15 @@
         mServer.close();
     }
 
+    /**
+     * Answers a request when the server is not silent.
+     *
+     * @param exchange the request
+     */
+    private void receive(HttpExchange exchange) {
+        whenHeard(() -> handle(exchange));
+    }
+
     /**
      * Answers a request.
      *
@@ -259,9 +310,10 @@
      */
     private void schedule(Runnable step) {
         if (mDelayMillis == 0) {
-            step.run();
+            whenHeard(step);
         } else {
-            CompletableFuture.delayedExecutor(mDelayMillis, TimeUnit.MILLISECONDS).execute(step);
+            CompletableFuture.delayedExecutor(mDelayMillis, TimeUnit.MILLISECONDS)
+                    .execute(() -> whenHeard(step));
         }
     }
 
--- a/testbed/src/test/java/org/magnoliaseam/testbed/soak/SoakPlanTest.java
+++ b/testbed/src/test/java/org/magnoliaseam/testbed/soak/SoakPlanTest.java
@@ -35,6 +35,20 @@
         assertThat(overlaps).isPositive();
     }
 
+    @Test
+    void laterSeedsDrawSilencesAndChangesAlone() {
+        Set<SoakFault> drawn = new HashSet<>();
+        for (long seed = SoakPlan.FIRST_SILENCE_SEED; drawn.size() < 4; seed++) {
+            SoakPlan.draw(seed, 15_000, 3).forEach(step -> drawn.add(step.fault()));
+        }
+        assertThat(drawn)
+                .containsExactlyInAnyOrder(
+                        SoakFault.SERVER_HANGS,
+                        SoakFault.SERVERS_HANG,
+                        SoakFault.CONFIGURE,
+                        SoakFault.RELOAD);
+    }
+
     private static boolean overlaps(List<SoakStep> steps, SoakStep step) {
         return steps.stream()
                 .anyMatch(
