Show the output of a router that does not read its settings again

Change: the check is the same; its failure prints the output of the router. Before each test the router must be alive when its readiness port answers.

--- a/testbed/src/test/java/org/magnoliaseam/testbed/proof/StoreDeploymentIT.java
+++ b/testbed/src/test/java/org/magnoliaseam/testbed/proof/StoreDeploymentIT.java
@@ -83,6 +83,7 @@
         Files.writeString(settings, settings(mCallers, mReadiness));
         mRouter = new ManagedProcess("router", mFolder, command(settings));
         await().atMost(TIMEOUT).until(() -> ready(mReadiness) == 200);
+        assertThat(mRouter.alive()).as(mRouter.output()).isTrue();
     }
 
     private static List<String> command(Path settings) {
@@ -367,7 +368,10 @@
                     StandardOpenOption.APPEND);
             mRouter.send(Signal.HUP);
             await().atMost(TIMEOUT)
-                    .until(() -> mRouter.output().contains("read again, changed=true"));
+                    .untilAsserted(
+                            () ->
+                                    assertThat(mRouter.output())
+                                            .contains("read again, changed=true"));
             assertThat(call("GET", "/lookup/1").statusCode()).isEqualTo(200);
         }
 
