Do not remove a request that waits again from the queue

After a waiting request had been started, drain removed it from the queue. If its attempt failed at once on another thread and it waited again, it was removed while it waited, and nothing started it until it was refused. The start itself removes a request from the queue, and so does its end, so the call is gone.

By reading only: the interleaving needs a failure between two locks, and no test shows it.

--- a/router/src/main/java/org/magnoliaseam/gateway/WaitingCalls.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/WaitingCalls.java
@@ -317,7 +317,6 @@
             }
             Attempted attempted = tryStart(call);
             if (attempted == Attempted.STARTED) {
-                remove(call);
                 continue;
             }
             passedOver++;
