--- a/router/src/main/java/org/magnoliaseam/gateway/AttemptProgress.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/AttemptProgress.java
@@ -81,7 +81,7 @@
     }
 
     /**
-     * Records that the request is sent.
+     * Records that the request is handed to the backend protocol, or that its first byte is sent.
      *
      * @param nowNanos the local monotonic time
      */
@@ -124,12 +124,11 @@
      *
      * @param written completes when the caller has read the event
      * @param clock the clock
-     * @return the same future
+     * @return completes after the time runs again
      */
     CompletableFuture<Void> awaitCaller(CompletableFuture<Void> written, MonotonicClock clock) {
         mCallerWaits = true;
-        written.whenComplete((ignored, failure) -> callerRead(clock.nanos()));
-        return written;
+        return written.whenComplete((ignored, failure) -> callerRead(clock.nanos()));
     }
 
     /**
--- a/router/src/main/java/org/magnoliaseam/gateway/BackendServerState.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/BackendServerState.java
@@ -221,6 +221,7 @@
      */
     void start(GatewayRequest request, VmShares shares, long tokens, long nowNanos) {
         mColdStart.started(request.service(), shares, nowNanos);
+        mSilence.started(nowNanos);
         mRunning++;
         mPendingTokens += tokens;
     }
--- a/router/src/main/java/org/magnoliaseam/gateway/CallPlacement.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/CallPlacement.java
@@ -253,6 +253,9 @@
                         sent();
                     }
                     accepted.set(confirmed && sent == mAttempt);
+                    if (accepted.get()) {
+                        sent.progress().sent(mParts.clock().nanos());
+                    }
                 });
         return accepted.get();
     }
@@ -294,12 +297,20 @@
     }
 
     /**
-     * Selects another backend server after the engine of the attempt in progress was too busy.
+     * Selects another backend server after the engine of an attempt was too busy.
      *
+     * @param attempt the attempt, which was not sent
      * @return false if the request has to be refused
      */
-    boolean busy() {
-        mClaims.add(mAttempt.claim());
+    boolean busy(GatewayAttempt attempt) {
+        if (mSilent.forgetBusy(attempt)) {
+            return true;
+        }
+        if (attempt != mAttempt) {
+            mActions.add(() -> mParts.permits().withdraw(attempt.claim()));
+            return true;
+        }
+        mClaims.add(attempt.claim());
         if (mClaims.size() > MAX_BUSY_ENGINES) {
             mClaims.remove();
         }
--- a/router/src/main/java/org/magnoliaseam/gateway/ColdStart.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/ColdStart.java
@@ -19,6 +19,9 @@
     /** Limits the rate of requests. */
     private final ColdStartLimiter mLimiter;
 
+    /** The local monotonic time at which the last cold start began. */
+    private long mSinceNanos;
+
     /** The local monotonic time at which the cold start ends. */
     private long mUntilNanos;
 
@@ -31,6 +34,7 @@
     ColdStart(ServerEntry entry, long nowNanos) {
         mServer = entry.id();
         mLimiter = new ColdStartLimiter(nowNanos);
+        mSinceNanos = nowNanos;
         mUntilNanos = nowNanos + entry.coldMillis() * NANOS_PER_MILLI;
     }
 
@@ -42,6 +46,9 @@
      */
     void lasts(long millis, long nowNanos) {
         long until = nowNanos + millis * NANOS_PER_MILLI;
+        if (nowNanos - mUntilNanos >= 0) {
+            mSinceNanos = nowNanos;
+        }
         if (until - mUntilNanos > 0) {
             mUntilNanos = until;
         }
@@ -88,10 +95,11 @@
      * Gives a counted request back that was not sent after all.
      *
      * @param service the service
+     * @param startedNanos the local monotonic time at which it was counted
      * @param nowNanos the local monotonic time
      */
-    void notSent(Service service, long nowNanos) {
-        if (isActive(service, nowNanos)) {
+    void notSent(Service service, long startedNanos, long nowNanos) {
+        if (isActive(service, nowNanos) && startedNanos - mSinceNanos >= 0) {
             mLimiter.giveBack();
         }
     }
--- a/router/src/main/java/org/magnoliaseam/gateway/GatewayCall.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/GatewayCall.java
@@ -329,12 +329,7 @@
      * @param attempt the attempt, which was not sent
      */
     void busy(GatewayAttempt attempt) {
-        mActions.decide(
-                () -> {
-                    if (!mPlacement.silent().forgetBusy(attempt) && !isNotCurrent(attempt)) {
-                        refuseUnless(mPlacement.busy());
-                    }
-                });
+        mActions.decide(() -> refuseUnless(mPlacement.busy(attempt)));
     }
 
     /** Ends the request at its deadline. */
--- a/router/src/main/java/org/magnoliaseam/gateway/ServerCandidates.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/ServerCandidates.java
@@ -84,8 +84,7 @@
      * @return true if it may get requests
      */
     private static boolean isSound(BackendServerState state, long now) {
-        return !state.failures().ejected(state.active(), now)
-                && !state.silence().isSilent(state.active(), now);
+        return !state.failures().ejected(state.active(), now) && !state.silence().isSilent(now);
     }
 
     /**
--- a/router/src/main/java/org/magnoliaseam/gateway/ServerFeedback.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/ServerFeedback.java
@@ -42,6 +42,9 @@
     /** Logs and counts what backend servers state. */
     private final ServerNotices mNotices;
 
+    /** The local monotonic time at which the attempt was counted. */
+    private final long mStartedNanos;
+
     /** The local monotonic time at which the attempt was sent. */
     private volatile long mSentNanos;
 
@@ -90,6 +93,7 @@
         mRequest = request;
         mNotices = pool.notices();
         mClock = clock;
+        mStartedNanos = clock.nanos();
     }
 
     /**
@@ -264,7 +268,7 @@
                 silence.count(1);
             }
             boolean counts = mRequest.route().idempotent() || !silence.isHeard(pauseNanos, now);
-            if (silence.observed(pauseNanos, server().active(), now) && counts) {
+            if (silence.observed(pauseNanos, now) && counts) {
                 server().failures().failed(false, now);
             }
         }
@@ -353,7 +357,7 @@
         synchronized (mPool) {
             end();
             if (mSentNanos == 0) {
-                server().coldStart().notSent(mRequest.service(), mClock.nanos());
+                server().coldStart().notSent(mRequest.service(), mStartedNanos, mClock.nanos());
             }
         }
     }
--- a/router/src/main/java/org/magnoliaseam/gateway/ServerSilence.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/ServerSilence.java
@@ -31,6 +31,9 @@
     /** Whether the backend server was silent when last observed. */
     private boolean mSilent;
 
+    /** The local monotonic time of the last start of an attempt. */
+    private long mStartedNanos;
+
     /** The local monotonic time of the last observation of a silent attempt. */
     private long mObservedNanos;
 
@@ -42,6 +45,16 @@
     ServerSilence(long nowNanos) {
         mHeardNanos = nowNanos;
         mLatestAnsweredNanos = nowNanos;
+        mStartedNanos = nowNanos;
+    }
+
+    /**
+     * Records that an attempt starts.
+     *
+     * @param nowNanos the local monotonic time
+     */
+    void started(long nowNanos) {
+        mStartedNanos = nowNanos;
     }
 
     /**
@@ -116,15 +129,14 @@
      * Records that an attempt has been silent for too long.
      *
      * @param pauseNanos the time since its last sign, in nanoseconds
-     * @param active the attempts in progress at the backend server that are not known to be silent
      * @param nowNanos the local monotonic time
      * @return true if this counts as a failure: a stuck attempt, or the first one of a silence
      */
-    boolean observed(long pauseNanos, int active, long nowNanos) {
+    boolean observed(long pauseNanos, long nowNanos) {
         if (isHeard(pauseNanos, nowNanos)) {
             return true;
         }
-        boolean known = isSilent(active, nowNanos);
+        boolean known = isSilent(nowNanos);
         mSilent = true;
         mObservedNanos = nowNanos;
         return !known;
@@ -132,14 +144,14 @@
 
     /**
      * Tells whether the backend server has stopped sending. It counts as such until it is heard
-     * from, or for a short time, after which it gets one request at a time.
+     * from, but for one request at intervals.
      *
-     * @param active the attempts in progress at the backend server that are not known to be silent
      * @param nowNanos the local monotonic time
      * @return true while others should be preferred
      */
-    boolean isSilent(int active, long nowNanos) {
-        boolean lapsed = active == 0 && nowNanos - mObservedNanos >= PROBE_NANOS;
+    boolean isSilent(long nowNanos) {
+        boolean lapsed =
+                nowNanos - mObservedNanos >= PROBE_NANOS && nowNanos - mStartedNanos >= PROBE_NANOS;
         return isUnresolved() && !lapsed;
     }
 
--- a/router/src/main/java/org/magnoliaseam/gateway/SilentAttempt.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/SilentAttempt.java
@@ -19,6 +19,9 @@
     /** The interval between searches for another backend server, in nanoseconds. */
     private static final long SEARCH_NANOS = 100_000_000L;
 
+    /** The silences of a request of which its log record has a step. */
+    private static final int MAX_LOGGED_SILENCES = 8;
+
     /** The multiple of the time to process all that waits after which an attempt is stuck. */
     private static final double STUCK_FACTOR = 3;
 
@@ -46,6 +49,9 @@
     /** The attempt that is to replace the silent one; null if there is none. */
     private GatewayAttempt mSuccessor;
 
+    /** The silences so far. */
+    private int mSilences;
+
     /** The local monotonic time of the last search for another backend server. */
     private long mSearchedNanos;
 
@@ -86,7 +92,7 @@
     void check(long nowNanos) {
         GatewayAttempt running = mPlacement.attempt();
         AttemptProgress progress = running.progress();
-        if (progress.beginsSilence(nowNanos)) {
+        if (progress.beginsSilence(nowNanos) && mSilences++ < MAX_LOGGED_SILENCES) {
             String silence = progress.describe(running.server(), nowNanos);
             mRecord.add(StepKind.SILENT, running, silence, nowNanos);
         }
--- a/router/src/main/java/org/magnoliaseam/platform/CallerResponse.java
+++ b/router/src/main/java/org/magnoliaseam/platform/CallerResponse.java
@@ -135,13 +135,27 @@
                     if (failure != null) {
                         completable.failed(failure);
                     } else {
-                        useChunkedEncoding();
-                        mResponse.write(false, bytes, completable);
+                        write(bytes, completable);
                     }
                 });
         return completable;
     }
 
+    /**
+     * Writes a part of the response.
+     *
+     * @param bytes the part
+     * @param written completes when it has been written; fails if it cannot be
+     */
+    private void write(ByteBuffer bytes, Callback.Completable written) {
+        try {
+            useChunkedEncoding();
+            mResponse.write(false, bytes, written);
+        } catch (RuntimeException e) {
+            written.failed(e);
+        }
+    }
+
     @Override
     public void end() {
         endWith(ByteBuffer.allocate(0));
@@ -156,12 +170,25 @@
                                 if (failure != null) {
                                     mCallback.failed(failure);
                                 } else {
-                                    mResponse.write(true, last, mCallback);
+                                    writeLast(last);
                                 }
                             });
         }
     }
 
+    /**
+     * Writes the last part of the response.
+     *
+     * @param last the part
+     */
+    private void writeLast(ByteBuffer last) {
+        try {
+            mResponse.write(true, last, mCallback);
+        } catch (RuntimeException e) {
+            mCallback.failed(e);
+        }
+    }
+
     @Override
     public void refuse(Refusal refusal) {
         refuse(refusal, refusal.kind().retryAfterSeconds() * (long) MILLIS_PER_SECOND);
--- a/router/src/test/java/org/magnoliaseam/gateway/SilentServerTest.java
+++ b/router/src/test/java/org/magnoliaseam/gateway/SilentServerTest.java
@@ -273,6 +273,52 @@
             assertThat(mBackend.mOrders).hasSize(3);
         }
 
+        @Test
+        void callerThatReadsOneEventAndNotTheNextIsNotTheSilenceOfTheServer() {
+            RecordingSink slow = new RecordingSink();
+            CompletableFuture<Void> first = new CompletableFuture<>();
+            publish(ENGINES, "a", "b");
+            Route route = route(RequestKind.STREAM, 2, true, 200);
+            mGateway.submit(request("r1", route, Prompt.NONE), slow.writesEndWith(first));
+            AttemptListener listener = mBackend.last();
+            listener.head(head());
+            content(listener, "id: 1\ndata: a\n\n")
+                    .thenRun(
+                            () -> {
+                                slow.writesEndWith(new CompletableFuture<>());
+                                content(listener, "id: 2\ndata: b\n\n");
+                            });
+            first.complete(null);
+            pass(SILENCE);
+            assertThat(mBackend.mOrders).hasSize(1);
+        }
+
+        @Test
+        void timeOfConnectingIsNotTheSilenceOfTheServer() {
+            publish(DESK, "a", "b");
+            mBackend.mConnects = false;
+            submit("r1", RequestKind.REPEATABLE, 2);
+            mNow.addAndGet(SILENCE);
+            mBackend.last().sending();
+            pass(MILLI);
+            assertThat(mBackend.mOrders).hasSize(1);
+        }
+
+        @Test
+        void requestInProgressDoesNotKeepASilentServerFromItsProbes() {
+            publish(DESK, "a");
+            submit("stuck", RequestKind.ONCE, 1);
+            pass(SILENCE - 100 * MILLI);
+            submit("later", RequestKind.ONCE, 1);
+            publish(DESK, "b");
+            pass(600 * MILLI);
+            pass(450 * MILLI);
+            for (int i = 0; i < 40; i++) {
+                submit("x" + i, RequestKind.ONCE, 1);
+            }
+            assertThat(attemptsAt("a", 2)).hasSize(1);
+        }
+
         @Test
         void slowCallerIsNotTheSilenceOfTheServer() {
             RecordingSink slow = new RecordingSink();
