--- a/testbed/src/test/java/org/magnoliaseam/testbed/proof/SilentServerIT.java
+++ b/testbed/src/test/java/org/magnoliaseam/testbed/proof/SilentServerIT.java
@@ -22,6 +22,8 @@
 
     private static final long SILENT_MILLIS = 1300;
 
+    private static final long SLOW_MILLIS = 150;
+
     private static final String EVENT = "id: %d\ndata: %d\n\n";
 
     @TempDir private Path mFolder;
@@ -58,6 +60,8 @@
 
     private void publishSecond() throws IOException {
         mSite.server("i-second", "sound", mSecond);
+        // Requests that overlap at the first server make the router use the second one.
+        mFirst.answers(SilentServerIT::answerSlowly);
         CompletableFuture<Void> requests = CompletableFuture.completedFuture(null);
         for (int i = 0; mSecond.requests().isEmpty(); i++) {
             assertThat(i).isLessThan(100);
@@ -89,6 +93,11 @@
         }
     }
 
+    private static void answerSlowly(RawMessage request, Socket socket) throws IOException {
+        pause(SLOW_MILLIS);
+        RawServer.write(socket, RawServer.sound(request));
+    }
+
     private static void answerLate(RawMessage request, Socket socket) throws IOException {
         pause(SILENT_MILLIS);
         RawServer.write(socket, RawServer.sound(request));
