Reproduce a store that comes back from an older copy

The stand-in of the store learns the drill: copy, restore, Store-Era in all answers, 410 for a watch from a revision that it does not have.

--- a/testbed/src/main/java/org/magnoliaseam/testbed/store/StoreStandIn.java
+++ b/testbed/src/main/java/org/magnoliaseam/testbed/store/StoreStandIn.java
@@ -17,7 +17,10 @@
     /** The largest number of items in a page. */
     private static final int PAGE_ITEMS = 3;
 
-    /** The status of a watch from a compacted revision. */
+    /** The header field with the number of times that the store came back from a copy. */
+    private static final String ERA_FIELD = "Store-Era";
+
+    /** The status of a watch from a revision that the store does not have. */
     private static final int GONE = 410;
 
     /** The server. */
@@ -35,6 +38,21 @@
     /** The revision up to which the history has been compacted. */
     private long mCompactedRevision = 100;
 
+    /** Rises each time the store comes back from a copy. */
+    private long mEra = 1;
+
+    /**
+     * Holds the state of a store at one revision.
+     *
+     * @param items the items by key
+     * @param changes the changes up to the revision, in order
+     * @param revision the revision
+     */
+    public record Copy(
+            Map<String, Map<String, Object>> items,
+            List<Map<String, Object>> changes,
+            long revision) {}
+
     /**
      * Starts a store.
      *
@@ -89,6 +107,31 @@
         notifyAll();
     }
 
+    /**
+     * Returns a copy of the store.
+     *
+     * @return the current state
+     */
+    public synchronized Copy copy() {
+        return new Copy(Map.copyOf(mItems), List.copyOf(mChanges), mRevision);
+    }
+
+    /**
+     * Goes back to a copy. Later revisions are given out again.
+     *
+     * @param copy the copy
+     */
+    public synchronized void restore(Copy copy) {
+        mItems.clear();
+        mItems.putAll(copy.items());
+        mChanges.clear();
+        mChanges.addAll(copy.changes());
+        mRevision = copy.revision();
+        mCompactedRevision = Math.min(mCompactedRevision, mRevision);
+        mEra++;
+        notifyAll();
+    }
+
     @Override
     public void close() throws Exception {
         mServer.close();
@@ -122,6 +165,7 @@
                 items.add(entry.getValue());
             }
         }
+        exchange.with(ERA_FIELD, Long.toString(mEra));
         boolean more = items.size() > PAGE_ITEMS;
         List<Map<String, Object>> page = more ? items.subList(0, PAGE_ITEMS) : items;
         exchange.json(200, Map.of("items", page, "has_more", more, "store_revision", mRevision));
@@ -139,7 +183,7 @@
         List<Map<String, Object>> events = events(prefix, after);
         try {
             long left = end - System.nanoTime();
-            while (events.isEmpty() && after >= mCompactedRevision && left > 0) {
+            while (events.isEmpty() && isAvailable(after) && left > 0) {
                 wait(Math.max(1, left / 1_000_000));
                 events = events(prefix, after);
                 left = end - System.nanoTime();
@@ -147,13 +191,24 @@
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
-        if (after < mCompactedRevision) {
+        exchange.with(ERA_FIELD, Long.toString(mEra));
+        if (!isAvailable(after)) {
             exchange.empty(GONE);
         } else {
             exchange.json(200, Map.of("events", events, "store_revision", mRevision));
         }
     }
 
+    /**
+     * Tells whether the changes after a revision are available.
+     *
+     * @param revision the revision
+     * @return false if the history was compacted since, or the store does not have the revision
+     */
+    private boolean isAvailable(long revision) {
+        return revision >= mCompactedRevision && revision <= mRevision;
+    }
+
     /**
      * Returns the changes after a revision.
      *
--- a/testbed/src/test/java/org/magnoliaseam/testbed/proof/RawSite.java
+++ b/testbed/src/test/java/org/magnoliaseam/testbed/proof/RawSite.java
@@ -151,6 +151,11 @@
         }
     }
 
+    /** Returns the store. */
+    StoreStandIn store() {
+        return mStore;
+    }
+
     /** Returns the router process. */
     public ManagedProcess router() {
         return mRouter;
