Follow a store that comes back from an older copy

Callers saw: nothing that was published after the restore was in force (routes, keys, failure domains, servers that left or came) until the revisions of the store passed those from before it; changes that had got the same revisions again were never seen. Cause: StoreWatch compared revisions of the store before and after the restore. A full read was refused as older, and a watch went on from a revision of the other history. Change: a revision is an era (Store-Era) and a number, and is compared in this order, also in the digests between entry VMs, so that one that waits on a silent connection hears of a restore. A watch that is answered from a later era is followed by a full read; pages of two eras are not joined. Digest format 9.

--- a/router/src/main/java/org/magnoliaseam/gateway/PoolGossip.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/PoolGossip.java
@@ -9,6 +9,7 @@
 import org.magnoliaseam.gossip.PeerEndpoint;
 import org.magnoliaseam.gossip.ServerLoad;
 import org.magnoliaseam.leaving.ServerIncarnation;
+import org.magnoliaseam.rollout.Revision;
 import org.magnoliaseam.spillover.DomainDemand;
 import org.magnoliaseam.suspect.CrashNews;
 
@@ -33,7 +34,7 @@
     }
 
     @Override
-    public long publishedRevision() {
+    public Revision publishedRevision() {
         return mPublished.newest();
     }
 
--- a/router/src/main/java/org/magnoliaseam/gateway/PublishedRevision.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/PublishedRevision.java
@@ -1,7 +1,8 @@
 package org.magnoliaseam.gateway;
 
-import java.util.concurrent.atomic.AtomicLong;
-import java.util.function.LongConsumer;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.Consumer;
+import org.magnoliaseam.rollout.Revision;
 
 /**
  * Holds the revision of the newest change of the publisher that this entry VM has applied, and
@@ -9,27 +10,27 @@
  */
 public final class PublishedRevision {
 
-    /** The revision of the newest applied change; 0 before the first. */
-    private final AtomicLong mNewest = new AtomicLong();
+    /** The revision of the newest applied change. */
+    private final AtomicReference<Revision> mNewest = new AtomicReference<>(Revision.NONE);
 
     /** Receives revisions that other entry VMs have and this one lacks. */
-    private volatile LongConsumer mObserver = revision -> {};
+    private volatile Consumer<Revision> mObserver = revision -> {};
 
     /**
      * Records that a change has been applied.
      *
      * @param revision its revision
      */
-    public void applied(long revision) {
-        mNewest.accumulateAndGet(revision, Math::max);
+    public void applied(Revision revision) {
+        mNewest.accumulateAndGet(revision, Revision::latest);
     }
 
     /**
      * Returns the revision of the newest applied change.
      *
-     * @return the revision; 0 before the first
+     * @return the revision; {@link Revision#NONE} before the first
      */
-    public long newest() {
+    public Revision newest() {
         return mNewest.get();
     }
 
@@ -38,8 +39,8 @@
      *
      * @param revision the revision
      */
-    public void heard(long revision) {
-        if (revision > mNewest.get()) {
+    public void heard(Revision revision) {
+        if (revision.isLaterThan(mNewest.get())) {
             mObserver.accept(revision);
         }
     }
@@ -49,7 +50,7 @@
      *
      * @param observer the receiver; called on the thread that receives digests
      */
-    public void observe(LongConsumer observer) {
+    public void observe(Consumer<Revision> observer) {
         mObserver = observer;
     }
 }
--- a/router/src/main/java/org/magnoliaseam/gossip/Digest.java
+++ b/router/src/main/java/org/magnoliaseam/gossip/Digest.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import org.magnoliaseam.leaving.ServerIncarnation;
+import org.magnoliaseam.rollout.Revision;
 import org.magnoliaseam.spillover.DomainDemand;
 import org.magnoliaseam.suspect.CrashNews;
 
@@ -13,7 +14,7 @@
  * @param vms the number of entry VMs that the sender has received digests from lately, including
  *     itself
  * @param publishedRevision the revision of the newest change of the publisher that the sender has
- *     applied; 0 if none
+ *     applied; {@link Revision#NONE} if none
  * @param peers some entry VMs that the sender receives digests from
  * @param loads the load that it puts on backend servers
  * @param demands its recent demand
@@ -27,7 +28,7 @@
         long incarnation,
         long sequence,
         int vms,
-        long publishedRevision,
+        Revision publishedRevision,
         List<PeerEndpoint> peers,
         List<ServerLoad> loads,
         List<Demand> demands,
--- a/router/src/main/java/org/magnoliaseam/gossip/DigestCodec.java
+++ b/router/src/main/java/org/magnoliaseam/gossip/DigestCodec.java
@@ -6,6 +6,7 @@
 import org.magnoliaseam.leaving.ServerIncarnation;
 import org.magnoliaseam.model.BackendServerId;
 import org.magnoliaseam.model.ServiceName;
+import org.magnoliaseam.rollout.Revision;
 import org.msgpack.core.MessageBufferPacker;
 import org.msgpack.core.MessagePack;
 import org.msgpack.core.MessagePackException;
@@ -18,7 +19,7 @@
      * The version of the format. It differs from those of all other datagrams of the peer port,
      * which are told apart by their first byte.
      */
-    private static final int FORMAT = 8;
+    private static final int FORMAT = 9;
 
     /** The largest number of elements in a list. */
     private static final int MAX_ELEMENTS = 4096;
@@ -39,7 +40,8 @@
             packer.packLong(digest.incarnation());
             packer.packLong(digest.sequence());
             packer.packInt(digest.vms());
-            packer.packLong(digest.publishedRevision());
+            packer.packLong(digest.publishedRevision().era());
+            packer.packLong(digest.publishedRevision().number());
             packer.packArrayHeader(digest.peers().size());
             for (PeerEndpoint peer : digest.peers()) {
                 packer.packString(peer.host());
@@ -90,7 +92,7 @@
             long incarnation = unpacker.unpackLong();
             long sequence = unpacker.unpackLong();
             int vms = unpacker.unpackInt();
-            long publishedRevision = unpacker.unpackLong();
+            Revision publishedRevision = new Revision(unpacker.unpackLong(), unpacker.unpackLong());
             return new Digest(
                     incarnation,
                     sequence,
--- a/router/src/main/java/org/magnoliaseam/gossip/GossipListener.java
+++ b/router/src/main/java/org/magnoliaseam/gossip/GossipListener.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import org.magnoliaseam.leaving.ServerIncarnation;
+import org.magnoliaseam.rollout.Revision;
 import org.magnoliaseam.spillover.DomainDemand;
 import org.magnoliaseam.suspect.CrashNews;
 
@@ -11,9 +12,9 @@
     /**
      * Returns the revision of the newest change of the publisher that this entry VM has applied.
      *
-     * @return the revision; 0 if none
+     * @return the revision; {@link Revision#NONE} if none
      */
-    long publishedRevision();
+    Revision publishedRevision();
 
     /**
      * Returns the load that this entry VM puts on backend servers.
--- a/router/src/main/java/org/magnoliaseam/platform/StoreClient.java
+++ b/router/src/main/java/org/magnoliaseam/platform/StoreClient.java
@@ -16,6 +16,7 @@
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.client.Request;
 import org.eclipse.jetty.http.HttpStatus;
+import org.magnoliaseam.rollout.Revision;
 
 /** Reads and watches the platform's metadata store. It never writes. */
 final class StoreClient {
@@ -32,6 +33,14 @@
     /** The base URL of the store. */
     private final String mBase;
 
+    /**
+     * Holds a response.
+     *
+     * @param root the JSON object
+     * @param era the era that the store states; 0 if none
+     */
+    private record Answer(JsonNode root, long era) {}
+
     /**
      * Creates a client.
      *
@@ -90,7 +99,7 @@
     private CompletableFuture<StorePage> page(String prefix, String after, long limitMillis) {
         String query = "/-/kv-range?prefix=" + encode(prefix);
         String page = after.isEmpty() ? query : query + "&after=" + encode(after);
-        return call(page, limitMillis).thenApply(root -> page(root, "items"));
+        return call(page, limitMillis).thenApply(answer -> page(answer, "items"));
     }
 
     /**
@@ -105,15 +114,15 @@
      *     the revision
      */
     CompletableFuture<StorePage> watch(
-            String prefix, long after, long waitMillis, long limitMillis) {
+            String prefix, Revision after, long waitMillis, long limitMillis) {
         String query =
                 "/-/kv-watch?prefix="
                         + encode(prefix)
                         + "&after="
-                        + after
+                        + after.number()
                         + "&wait_ms="
                         + waitMillis;
-        return call(query, limitMillis).thenApply(root -> page(root, "events"));
+        return call(query, limitMillis).thenApply(answer -> page(answer, "events"));
     }
 
     /**
@@ -123,7 +132,7 @@
      * @param limitMillis the time limit in milliseconds
      * @return the parsed response; fails with {@link StoreException} if there was no usable one
      */
-    private CompletableFuture<JsonNode> call(String pathAndQuery, long limitMillis) {
+    private CompletableFuture<Answer> call(String pathAndQuery, long limitMillis) {
         Request request = mClient.newRequest(mBase + pathAndQuery);
         request.timeout(limitMillis, TimeUnit.MILLISECONDS);
         request.idleTimeout(limitMillis, TimeUnit.MILLISECONDS);
@@ -137,10 +146,10 @@
      *
      * @param response the response; null if there was none
      * @param failure why there was none; null if there was one
-     * @return the JSON object
+     * @return the parsed response
      * @throws StoreException if there is no usable response
      */
-    private static JsonNode parse(ContentResponse response, Throwable failure) {
+    private static Answer parse(ContentResponse response, Throwable failure) {
         if (failure != null) {
             throw new StoreException(failure.getClass().getSimpleName(), 0);
         }
@@ -148,41 +157,58 @@
             throw new StoreException("status " + response.getStatus(), response.getStatus());
         }
         try {
-            return MAPPER.readTree(response.getContent());
-        } catch (IOException e) {
+            return new Answer(MAPPER.readTree(response.getContent()), era(response));
+        } catch (IOException | NumberFormatException e) {
             throw new StoreException("unreadable response: " + e.getMessage(), 0);
         }
     }
 
+    /**
+     * Reads the era that the store states.
+     *
+     * @param response the response
+     * @return the era; 0 if the response states none
+     * @throws NumberFormatException if the response states no number
+     */
+    private static long era(ContentResponse response) {
+        String text = response.getHeaders().get(WireNames.STORE_ERA);
+        return text == null ? 0 : Long.parseLong(text);
+    }
+
     /**
      * Converts a response to a page.
      *
-     * @param root the response
+     * @param answer the response
      * @param list the key of the list of items
      * @return the page
      * @throws StoreException if the revision is missing
      */
-    private static StorePage page(JsonNode root, String list) {
+    private static StorePage page(Answer answer, String list) {
+        JsonNode root = answer.root();
         JsonNode revision = root.path("store_revision");
         if (!revision.canConvertToLong()) {
             throw new StoreException("response without a revision", 0);
         }
         List<StoreItem> items = new ArrayList<>();
         for (JsonNode node : root.path(list)) {
-            items.add(item(node));
+            items.add(item(node, answer.era()));
         }
-        return new StorePage(items, root.path("has_more").asBoolean(), revision.asLong());
+        return new StorePage(
+                items,
+                root.path("has_more").asBoolean(),
+                new Revision(answer.era(), revision.asLong()));
     }
 
     /**
      * Converts an item.
      *
      * @param node the JSON object of the item or change
+     * @param era the era of the response
      * @return the item; its value is empty if it is not valid base64
      */
-    private static StoreItem item(JsonNode node) {
+    private static StoreItem item(JsonNode node, long era) {
         String key = node.path("key").asText();
-        long revision = node.path("revision").asLong();
+        Revision revision = new Revision(era, node.path("revision").asLong());
         if (node.path("deleted").asBoolean()) {
             return new StoreItem(key, null, revision);
         }
--- a/router/src/main/java/org/magnoliaseam/platform/StoreItem.java
+++ b/router/src/main/java/org/magnoliaseam/platform/StoreItem.java
@@ -1,5 +1,7 @@
 package org.magnoliaseam.platform;
 
+import org.magnoliaseam.rollout.Revision;
+
 /**
  * Holds an item of the metadata store or the removal of one.
  *
@@ -7,7 +9,7 @@
  * @param value the bytes; null if the item was removed
  * @param revision the revision of the change
  */
-record StoreItem(String key, byte[] value, long revision) {
+record StoreItem(String key, byte[] value, Revision revision) {
 
     /**
      * Returns whether the item was removed.
--- a/router/src/main/java/org/magnoliaseam/platform/StoreWatch.java
+++ b/router/src/main/java/org/magnoliaseam/platform/StoreWatch.java
@@ -11,6 +11,7 @@
 import org.apache.logging.log4j.Logger;
 import org.magnoliaseam.rollout.ContactSchedule;
 import org.magnoliaseam.rollout.OverdueChange;
+import org.magnoliaseam.rollout.Revision;
 import org.magnoliaseam.time.MonotonicClock;
 
 /**
@@ -23,9 +24,6 @@
     /** The HTTP status if the store no longer has the changes since a revision. */
     private static final int GONE = 410;
 
-    /** Stands for the state before the first full read, after which changes can be watched. */
-    private static final long UNREAD = -1;
-
     /** Logs lost and restored contact with the store. */
     private static final Logger LOG = LogManager.getLogger("store");
 
@@ -56,11 +54,11 @@
     /** Whether the watch is to end. */
     private volatile boolean mStopped;
 
-    /** The revision up to which changes are known. */
-    private long mRevision = UNREAD;
+    /** The revision up to which changes are known; none if all items have to be read. */
+    private Revision mRevision = Revision.NONE;
 
-    /** The newest revision of any answer, which a full read must not fall behind. */
-    private long mNewest = UNREAD;
+    /** The newest revision of any applied answer, which later ones must not fall behind. */
+    private Revision mNewest = Revision.NONE;
 
     /** The number of consecutive failed calls. */
     private int mFailures;
@@ -119,7 +117,7 @@
      *
      * @param revision the revision
      */
-    void heard(long revision) {
+    void heard(Revision revision) {
         mEvents.add(
                 () -> {
                     if (mFailures == 0) {
@@ -173,7 +171,8 @@
     /** Reads all items on the first call, and changes on later ones. */
     private void startCall() {
         long now = mClock.nanos();
-        Call call = new Call(++mCalls, now, mSchedule.waitMillis(), mRevision == UNREAD);
+        Call call =
+                new Call(++mCalls, now, mSchedule.waitMillis(), mRevision.equals(Revision.NONE));
         mSchedule.started(now);
         mOverdue.called(now);
         mOpen.add(call);
@@ -210,20 +209,32 @@
         if (!mOpen.remove(call)) {
             return;
         }
-        if (failure == null && page.revision() < mNewest) {
+        if (failure == null && mNewest.isLaterThan(page.revision())) {
             failed(call, new StoreException("older state, revision " + page.revision(), 0));
+        } else if (failure == null && !call.full() && page.revision().isRestoredSince(mNewest)) {
+            // These changes continue a state that was never read.
+            readAll("store came back from a copy, revision=" + page.revision());
         } else if (failure == null) {
             answered(call, page);
         } else if (cause(failure) instanceof StoreException store && store.status() == GONE) {
-            LOG.info("store: history no longer available, reading all items, prefix={}", mPrefix);
-            mOpen.clear();
-            mRevision = UNREAD;
-            mSchedule.answered(true, mClock.nanos());
+            readAll("history no longer available");
         } else {
             failed(call, cause(failure));
         }
     }
 
+    /**
+     * Makes the next call read all items. The other open calls are ignored from now on.
+     *
+     * @param reason the reason for the log
+     */
+    private void readAll(String reason) {
+        LOG.info("store: reading all items, known={} reason={}", mRevision, reason);
+        mOpen.clear();
+        mRevision = Revision.NONE;
+        mSchedule.answered(true, mClock.nanos());
+    }
+
     /**
      * Delivers the items of an answer. The other open calls are ignored from now on, so that no
      * answer is applied twice.
--- a/router/src/main/java/org/magnoliaseam/platform/WireNames.java
+++ b/router/src/main/java/org/magnoliaseam/platform/WireNames.java
@@ -46,6 +46,9 @@
     /** The engine from which another one fetches cached prompt parts. */
     static final String CACHE_SOURCE = "Kv-Fetch";
 
+    /** The number of times that the store came back from a copy. */
+    static final String STORE_ERA = "Store-Era";
+
     /** The request header fields that are not forwarded unchanged, in lower case. */
     private static final Set<String> NOT_FORWARDED =
             Set.of(
--- a/router/src/main/java/org/magnoliaseam/rollout/OverdueChange.java
+++ b/router/src/main/java/org/magnoliaseam/rollout/OverdueChange.java
@@ -9,9 +9,6 @@
  */
 public final class OverdueChange {
 
-    /** Stands for no expected revision. */
-    private static final long NONE = Long.MIN_VALUE;
-
     /** The time in which the open call usually returns a change that a peer already has. */
     private static final long GRACE_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
 
@@ -19,7 +16,7 @@
     private final long mGapNanos;
 
     /** The revision that a peer has; at most the known one if none is expected. */
-    private long mRevision = NONE;
+    private Revision mRevision = Revision.NONE;
 
     /** The local monotonic time at which a peer reported the revision. */
     private long mHeardNanos;
@@ -46,8 +43,8 @@
      * @param known the revision up to which changes are known here
      * @param nowNanos the local monotonic time
      */
-    public void heard(long revision, long known, long nowNanos) {
-        if (revision > known && mRevision <= known) {
+    public void heard(Revision revision, Revision known, long nowNanos) {
+        if (revision.isLaterThan(known) && !mRevision.isLaterThan(known)) {
             mRevision = revision;
             mHeardNanos = nowNanos;
         }
@@ -71,8 +68,8 @@
      * @return the time in nanoseconds, at most 0 if it is overdue; {@link Long#MAX_VALUE} if no
      *     change is expected
      */
-    public long nanosUntilOverdue(long known, long nowNanos) {
-        if (mRevision <= known) {
+    public long nanosUntilOverdue(Revision known, long nowNanos) {
+        if (!mRevision.isLaterThan(known)) {
             return Long.MAX_VALUE;
         }
         return Math.max(mHeardNanos + GRACE_NANOS - nowNanos, mNotBeforeNanos - nowNanos);
@@ -84,9 +81,9 @@
      * @param nowNanos the local monotonic time
      * @return the revision that a peer has
      */
-    public long take(long nowNanos) {
-        long revision = mRevision;
-        mRevision = NONE;
+    public Revision take(long nowNanos) {
+        Revision revision = mRevision;
+        mRevision = Revision.NONE;
         mNotBeforeNanos = nowNanos + mGapNanos;
         return revision;
     }
--- a/router/src/test/java/org/magnoliaseam/gateway/CrowdedServiceReplayTest.java
+++ b/router/src/test/java/org/magnoliaseam/gateway/CrowdedServiceReplayTest.java
@@ -14,6 +14,7 @@
 import org.magnoliaseam.gossip.PeerEndpoint;
 import org.magnoliaseam.gossip.ServerLoad;
 import org.magnoliaseam.model.BackendServerId;
+import org.magnoliaseam.rollout.Revision;
 import org.magnoliaseam.suspect.CrashNews;
 
 /** Replays 90 entry VMs that share three servers of six slots, with digests that are 4 s old. */
@@ -75,7 +76,7 @@
                             1,
                             1,
                             vms,
-                            0,
+                            Revision.NONE,
                             List.of(),
                             List.of(new ServerLoad(new BackendServerId("desk"), 64, 0)),
                             List.of(),
--- a/router/src/test/java/org/magnoliaseam/gateway/ServerLeavingTest.java
+++ b/router/src/test/java/org/magnoliaseam/gateway/ServerLeavingTest.java
@@ -25,6 +25,7 @@
 import org.magnoliaseam.gossip.PeerEndpoint;
 import org.magnoliaseam.model.BackendServerId;
 import org.magnoliaseam.model.ServiceName;
+import org.magnoliaseam.rollout.Revision;
 import org.magnoliaseam.suspect.CrashNews;
 
 /** Tests that backend servers that are leaving get no new requests. */
@@ -184,7 +185,7 @@
                             1,
                             1,
                             2,
-                            0,
+                            Revision.NONE,
                             List.of(),
                             from.loads(),
                             List.of(),
--- a/router/src/test/java/org/magnoliaseam/gateway/ServerSelectorTest.java
+++ b/router/src/test/java/org/magnoliaseam/gateway/ServerSelectorTest.java
@@ -26,6 +26,7 @@
 import org.magnoliaseam.gossip.ServerLoad;
 import org.magnoliaseam.model.BackendServerId;
 import org.magnoliaseam.placement.PromptTimeModel;
+import org.magnoliaseam.rollout.Revision;
 import org.magnoliaseam.suspect.CrashNews;
 
 /** Tests the selection of a backend server. */
@@ -84,7 +85,7 @@
                             1,
                             1,
                             1,
-                            0,
+                            Revision.NONE,
                             List.of(),
                             List.of(load),
                             List.of(),
--- a/router/src/test/java/org/magnoliaseam/gateway/SimulatedFleet.java
+++ b/router/src/test/java/org/magnoliaseam/gateway/SimulatedFleet.java
@@ -22,6 +22,7 @@
 import org.magnoliaseam.gossip.PeerEndpoint;
 import org.magnoliaseam.permit.EnginePermits;
 import org.magnoliaseam.permit.PermitMessage;
+import org.magnoliaseam.rollout.Revision;
 
 /**
  * Plays requests in simulated time: gateways that exchange digests, and engines that process the
@@ -275,7 +276,7 @@
                             1,
                             mNow,
                             mPools.size(),
-                            0,
+                            Revision.NONE,
                             List.of(),
                             pool.loads(),
                             pool.demands(),
--- a/router/src/test/java/org/magnoliaseam/gateway/SimulatedPlainSite.java
+++ b/router/src/test/java/org/magnoliaseam/gateway/SimulatedPlainSite.java
@@ -28,6 +28,7 @@
 import org.magnoliaseam.model.ClientAccountId;
 import org.magnoliaseam.model.FailureDomain;
 import org.magnoliaseam.model.RequestId;
+import org.magnoliaseam.rollout.Revision;
 import org.magnoliaseam.suspect.CrashNews;
 
 /**
@@ -288,7 +289,7 @@
                             1,
                             mNow,
                             mPools.size(),
-                            0,
+                            Revision.NONE,
                             List.of(),
                             pool.loads(),
                             List.of(),
--- a/router/src/test/java/org/magnoliaseam/gossip/DigestSizeTest.java
+++ b/router/src/test/java/org/magnoliaseam/gossip/DigestSizeTest.java
@@ -12,6 +12,7 @@
 import org.magnoliaseam.model.BackendServerId;
 import org.magnoliaseam.model.FailureDomain;
 import org.magnoliaseam.model.ServiceName;
+import org.magnoliaseam.rollout.Revision;
 import org.magnoliaseam.spillover.Crossing;
 import org.magnoliaseam.spillover.DomainDemand;
 import org.magnoliaseam.suspect.CrashNews;
@@ -43,7 +44,7 @@
                 Long.MIN_VALUE,
                 1 << 20,
                 350,
-                1 << 20,
+                new Revision(1 << 20, 1 << 20),
                 peers,
                 loads,
                 kinds,
--- a/router/src/test/java/org/magnoliaseam/gossip/EarlyDigestTest.java
+++ b/router/src/test/java/org/magnoliaseam/gossip/EarlyDigestTest.java
@@ -17,6 +17,7 @@
 import org.junit.jupiter.api.Test;
 import org.magnoliaseam.failure.FailureLog;
 import org.magnoliaseam.leaving.ServerIncarnation;
+import org.magnoliaseam.rollout.Revision;
 import org.magnoliaseam.spillover.DomainDemand;
 import org.magnoliaseam.suspect.CrashNews;
 import org.magnoliaseam.suspect.CrashNotice;
@@ -34,8 +35,8 @@
     /** Supplies news of a crash and nothing else. */
     private static final class NewsListener implements GossipListener {
         @Override
-        public long publishedRevision() {
-            return 0;
+        public Revision publishedRevision() {
+            return Revision.NONE;
         }
 
         @Override
--- a/router/src/test/java/org/magnoliaseam/gossip/GossipTest.java
+++ b/router/src/test/java/org/magnoliaseam/gossip/GossipTest.java
@@ -20,6 +20,7 @@
 import org.magnoliaseam.model.ServiceName;
 import org.magnoliaseam.permit.EnginePermits;
 import org.magnoliaseam.permit.PermitDatagrams;
+import org.magnoliaseam.rollout.Revision;
 import org.magnoliaseam.spillover.Crossing;
 import org.magnoliaseam.spillover.DomainDemand;
 import org.magnoliaseam.suspect.AnswerNotice;
@@ -43,7 +44,7 @@
                 7,
                 8,
                 6,
-                41,
+                new Revision(3, 41),
                 List.of(SEED),
                 List.of(new ServerLoad(new BackendServerId("s"), 3, 4000)),
                 List.of(new Demand(new ServiceName("x"), 200, 1.5)),
@@ -73,7 +74,7 @@
                 7,
                 8,
                 vms,
-                0,
+                Revision.NONE,
                 List.of(named),
                 List.of(),
                 List.of(),
--- a/router/src/test/java/org/magnoliaseam/platform/PlatformFeedTest.java
+++ b/router/src/test/java/org/magnoliaseam/platform/PlatformFeedTest.java
@@ -30,6 +30,7 @@
 import org.magnoliaseam.gateway.ServerPool;
 import org.magnoliaseam.model.FailureDomain;
 import org.magnoliaseam.model.VmId;
+import org.magnoliaseam.rollout.Revision;
 import org.magnoliaseam.settings.StoreSettings;
 
 /** Tests how the router follows a metadata store that fails. */
@@ -287,7 +288,7 @@
             await().atMost(Duration.ofSeconds(10)).until(() -> mWatches.get() > before);
             mStalled = true;
             mVersion = 2;
-            mPublished.heard(12);
+            mPublished.heard(new Revision(0, 12));
             await().atMost(Duration.ofMillis(800)).until(() -> version() == 2);
         }
     }
--- a/router/src/test/java/org/magnoliaseam/platform/StoreClientTest.java
+++ b/router/src/test/java/org/magnoliaseam/platform/StoreClientTest.java
@@ -1,6 +1,7 @@
 package org.magnoliaseam.platform;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 import com.sun.net.httpserver.HttpExchange;
 import com.sun.net.httpserver.HttpServer;
@@ -17,6 +18,7 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.magnoliaseam.rollout.Revision;
 
 /** Tests reads of the store against scripted responses. */
 class StoreClientTest {
@@ -28,6 +30,9 @@
     /** The responses by a part of the request that they belong to; the first match counts. */
     private final Map<String, String> mResponses = new LinkedHashMap<>();
 
+    /** The era of each response by a part of its request; none if there is no match. */
+    private final Map<String, String> mEras = new LinkedHashMap<>();
+
     private HttpServer mServer;
 
     private StoreClient mStore;
@@ -55,6 +60,12 @@
                         .map(Map.Entry::getValue)
                         .findFirst()
                         .orElse("{}");
+        mEras.forEach(
+                (part, era) -> {
+                    if (request.contains(part)) {
+                        exchange.getResponseHeaders().set("Store-Era", era);
+                    }
+                });
         byte[] bytes = body.getBytes(StandardCharsets.UTF_8);
         exchange.sendResponseHeaders(200, bytes.length);
         exchange.getResponseBody().write(bytes);
@@ -111,7 +122,7 @@
                             put("d", "15", 15)));
             StorePage read = readAll();
             assertThat(texts(read)).containsExactly("a=11", "c=14", "d=15");
-            assertThat(read.revision()).isEqualTo(15);
+            assertThat(read.revision()).isEqualTo(new Revision(0, 15));
         }
 
         @Test
@@ -123,12 +134,32 @@
             assertThat(texts(readAll())).containsExactly("a=9");
         }
 
+        @Test
+        void pagesBeforeAndAfterARestoreAreNotJoined() {
+            mResponses.put("kv-range?prefix=&after=a", page(13, false, put("b", "12", 12)));
+            mResponses.put("kv-range?prefix=", page(10, true, put("a", "9", 9)));
+            mEras.put("kv-range", "1");
+            mEras.put("kv-range?prefix=&after=a", "2");
+            assertThatThrownBy(this::read).hasRootCauseInstanceOf(StoreException.class);
+        }
+
+        @Test
+        void eraThatIsNoNumberMakesTheResponseUnusable() {
+            mResponses.put("kv-range", page(10, false, put("a", "9", 9)));
+            mEras.put("kv-range", "soon");
+            assertThatThrownBy(this::read).hasRootCauseInstanceOf(StoreException.class);
+        }
+
+        private void read() throws Exception {
+            readAll();
+        }
+
         @Test
         void onePageNeedsNoFurtherCall() throws Exception {
             mResponses.put("kv-range?prefix=", page(10, false, put("a", "9", 9)));
             StorePage read = readAll();
             assertThat(texts(read)).containsExactly("a=9");
-            assertThat(read.revision()).isEqualTo(10);
+            assertThat(read.revision()).isEqualTo(new Revision(0, 10));
         }
 
         @Test
--- a/router/src/test/java/org/magnoliaseam/rollout/OverdueChangeTest.java
+++ b/router/src/test/java/org/magnoliaseam/rollout/OverdueChangeTest.java
@@ -12,33 +12,43 @@
 
     private final OverdueChange mChange = new OverdueChange(Duration.ofSeconds(3), 0);
 
+    private static Revision at(long number) {
+        return new Revision(1, number);
+    }
+
     @Test
     void changeThatIsAppliedInTimeIsNeverOverdue() {
-        mChange.heard(8, 7, 0);
-        assertThat(mChange.nanosUntilOverdue(7, 100 * MILLI)).isEqualTo(150 * MILLI);
-        assertThat(mChange.nanosUntilOverdue(8, 300 * MILLI)).isEqualTo(Long.MAX_VALUE);
+        mChange.heard(at(8), at(7), 0);
+        assertThat(mChange.nanosUntilOverdue(at(7), 100 * MILLI)).isEqualTo(150 * MILLI);
+        assertThat(mChange.nanosUntilOverdue(at(8), 300 * MILLI)).isEqualTo(Long.MAX_VALUE);
     }
 
     @Test
     void laterReportsDoNotPostponeAnOverdueChange() {
-        mChange.heard(8, 7, 0);
-        mChange.heard(9, 7, 200 * MILLI);
-        assertThat(mChange.nanosUntilOverdue(7, 250 * MILLI)).isZero();
-        assertThat(mChange.take(250 * MILLI)).isEqualTo(8);
+        mChange.heard(at(8), at(7), 0);
+        mChange.heard(at(9), at(7), 200 * MILLI);
+        assertThat(mChange.nanosUntilOverdue(at(7), 250 * MILLI)).isZero();
+        assertThat(mChange.take(250 * MILLI)).isEqualTo(at(8));
     }
 
     @Test
     void knownRevisionIsNotExpected() {
-        mChange.heard(7, 7, 0);
-        assertThat(mChange.nanosUntilOverdue(7, 300 * MILLI)).isEqualTo(Long.MAX_VALUE);
+        mChange.heard(at(7), at(7), 0);
+        assertThat(mChange.nanosUntilOverdue(at(7), 300 * MILLI)).isEqualTo(Long.MAX_VALUE);
+    }
+
+    @Test
+    void stateOfALaterEraIsExpectedAlthoughItsNumberIsLower() {
+        mChange.heard(new Revision(2, 5), at(7), 0);
+        assertThat(mChange.nanosUntilOverdue(at(7), 250 * MILLI)).isZero();
     }
 
     @Test
     void revisionThatThePublisherNeverHadCausesFewCalls() {
         int calls = 0;
         for (long now = 0; now < 60_000; now += 10) {
-            mChange.heard(1_000_000, 7, now * MILLI);
-            if (mChange.nanosUntilOverdue(7, now * MILLI) <= 0) {
+            mChange.heard(at(1_000_000), at(7), now * MILLI);
+            if (mChange.nanosUntilOverdue(at(7), now * MILLI) <= 0) {
                 mChange.take(now * MILLI);
                 calls++;
             }
