Keep what a restored store has lost until it is written again

Callers would have seen, with the list of the copy taken as it is: requests sent to servers that had left before the restore, sound servers dropped, failure domains back in service early, and 404 for routes of a configuration that the copy lacks. Change: RestoredPublication decides for four heartbeats of backend servers what of the copy counts: a start that was withdrawn returns only by publishing its entry again, failure domains stay out of service. CurrentCatalog is not fresh until a catalog as new as the one in force is read and the time has passed, so unknown routes and keys get 503.

--- a/router/src/main/java/org/magnoliaseam/gateway/CurrentCatalog.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/CurrentCatalog.java
@@ -24,6 +24,15 @@
     /** The local monotonic time at which the publisher last confirmed the catalog. */
     private final AtomicLong mConfirmedNanos;
 
+    /**
+     * Whether the publisher has come back from a copy whose catalog is older than the current one
+     * and has published no later one since.
+     */
+    private volatile boolean mBehind;
+
+    /** The local monotonic time up to which lost catalogs may be published again. */
+    private volatile long mSettledNanos;
+
     /**
      * The time since the last confirmation, in nanoseconds, from which a newer catalog may exist.
      */
@@ -42,6 +51,7 @@
         mFreshNanos = freshFor.toNanos();
         mClock = clock;
         mConfirmedNanos = new AtomicLong(clock.nanos() - mFreshNanos);
+        mSettledNanos = clock.nanos();
     }
 
     /**
@@ -53,6 +63,9 @@
         Catalog before =
                 mCatalog.getAndUpdate(
                         now -> now == null || offered.version() > now.version() ? offered : now);
+        if (before == null || offered.version() >= before.version()) {
+            mBehind = false;
+        }
         if (before == null || offered.version() > before.version()) {
             LOG.info(
                     "publication: catalog in force, version={} routes={}",
@@ -61,6 +74,17 @@
         }
     }
 
+    /**
+     * Records that the publisher came back from an older copy, whose catalog follows. The current
+     * catalog stays in force, but newer ones may have been lost.
+     *
+     * @param limit the time in which everything that was lost is published again
+     */
+    public void publisherRestored(Duration limit) {
+        mSettledNanos = mClock.nanos() + limit.toNanos();
+        mBehind = true;
+    }
+
     /** Records that the publisher has just confirmed the catalog. */
     public void confirmed() {
         mConfirmedNanos.set(mClock.nanos());
@@ -78,9 +102,11 @@
     /**
      * Tells whether the catalog is fresh, so that a route or key that it lacks does not exist.
      *
-     * @return false if the missing route or key may have been published since the last confirmation
+     * @return false if the missing route or key may have been published since the last
+     *     confirmation, or may be missing because the publisher came back from an older copy
      */
     public boolean fresh() {
-        return mClock.nanos() - mConfirmedNanos.get() < mFreshNanos;
+        long now = mClock.nanos();
+        return !mBehind && now - mSettledNanos >= 0 && now - mConfirmedNanos.get() < mFreshNanos;
     }
 }
--- a/router/src/main/java/org/magnoliaseam/gateway/PublishedServers.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/PublishedServers.java
@@ -1,5 +1,6 @@
 package org.magnoliaseam.gateway;
 
+import java.time.Duration;
 import java.util.Collection;
 import java.util.Set;
 import org.magnoliaseam.catalog.ServerEntry;
@@ -46,6 +47,28 @@
         }
     }
 
+    /**
+     * Adds or updates a backend server of a full list.
+     *
+     * @param entry the entry
+     */
+    public void listed(ServerEntry entry) {
+        synchronized (mPool) {
+            mServers.listed(entry, mClock.nanos());
+        }
+    }
+
+    /**
+     * Records that the publisher came back from an older copy, whose full list follows.
+     *
+     * @param limit the time in which everything that was lost is published again
+     */
+    public void publisherRestored(Duration limit) {
+        synchronized (mPool) {
+            mServers.publisherRestored(limit, mClock.nanos());
+        }
+    }
+
     /**
      * Records that the publisher is reachable again after an outage. Entries that expired during
      * the outage are published again shortly if their backend servers are alive.
@@ -80,7 +103,7 @@
     }
 
     /**
-     * Sets the failure domains that are out of service.
+     * Sets the failure domains that are published as out of service.
      *
      * @param out the failure domains that get no new work
      */
--- a/router/src/main/java/org/magnoliaseam/gateway/ServerPool.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/ServerPool.java
@@ -162,7 +162,7 @@
      */
     synchronized void members(Membership members) {
         mPeerLoads.expire(mClock.nanos());
-        mServers.removeExpired(mClock.nanos());
+        mServers.settle(mClock.nanos());
         mServers.endPushbacks(mClock.nanos());
         mShares.members(members);
         mSpillover.update(mServers, members.vms(), mClock.nanos());
--- a/router/src/main/java/org/magnoliaseam/gateway/ServerRegistry.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/ServerRegistry.java
@@ -1,5 +1,6 @@
 package org.magnoliaseam.gateway;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
@@ -15,6 +16,7 @@
 import org.magnoliaseam.gossip.ServerLoad;
 import org.magnoliaseam.leaving.LeavingServers;
 import org.magnoliaseam.leaving.LeavingSource;
+import org.magnoliaseam.leaving.RestoredPublication;
 import org.magnoliaseam.leaving.ServerIncarnation;
 import org.magnoliaseam.membership.StableHash;
 import org.magnoliaseam.model.BackendServerId;
@@ -55,6 +57,9 @@
     /** The failure domains that are out of service. */
     private final Set<FailureDomain> mOutOfService = new HashSet<>();
 
+    /** Decides what counts after the publisher came back from an older copy. */
+    private final RestoredPublication mRestored = new RestoredPublication();
+
     /** The starts of backend servers that are leaving. */
     private final LeavingServers mLeaving = new LeavingServers();
 
@@ -82,6 +87,20 @@
         mReappearUntilNanos = nowNanos;
     }
 
+    /**
+     * Adds or updates a backend server of a full list.
+     *
+     * @param entry the entry
+     * @param nowNanos the local monotonic time
+     */
+    void listed(ServerEntry entry, long nowNanos) {
+        if (mRestored.defers(entry)) {
+            LOG.info("board: entry of an older copy deferred, id={}", entry.id());
+        } else {
+            published(entry, nowNanos);
+        }
+    }
+
     /**
      * Adds or updates a published backend server. An entry of an earlier start is ignored.
      *
@@ -96,6 +115,7 @@
             return;
         }
         mExpired.remove(entry.id());
+        mRestored.published(entry.id());
         mInService.clear();
         mLeaving.endedBy(server)
                 .ifPresent(earlier -> mNotices.leavingEnded(earlier, server, nowNanos));
@@ -231,6 +251,17 @@
         mReappearUntilNanos = nowNanos + REAPPEAR_NANOS;
     }
 
+    /**
+     * Records that the publisher came back from an older copy, whose full list follows.
+     *
+     * @param limit the time in which everything that was lost is published again
+     * @param nowNanos the local monotonic time
+     */
+    void publisherRestored(Duration limit, long nowNanos) {
+        publisherReturned(nowNanos);
+        mRestored.began(limit, nowNanos);
+    }
+
     /**
      * Removes a backend server that is no longer published. Shortly after an outage of the
      * publisher the removal is delayed, since the server may be published again.
@@ -240,27 +271,30 @@
      */
     void withdrawn(BackendServerId id, long nowNanos) {
         BackendServerState state = mServers.get(id);
+        mRestored.removed(id);
         boolean mayReappear = nowNanos - mReappearUntilNanos < 0;
         if (state != null && mayReappear && !mLeaving.isLeaving(incarnation(state.entry()))) {
             mExpired.add(id);
         } else if (mServers.remove(id) != null) {
+            mRestored.withdrawn(incarnation(state.entry()));
             mInService.clear();
             LOG.info("board: backend server removed, id={}", id);
         }
     }
 
     /**
-     * Removes the backend servers that were not published again in time after an outage of the
-     * publisher.
+     * Ends the times in which entries may be published again. Called periodically.
      *
      * @param nowNanos the local monotonic time
      */
-    void removeExpired(long nowNanos) {
+    void settle(long nowNanos) {
         if (!mExpired.isEmpty() && nowNanos - mReappearUntilNanos >= 0) {
             List<BackendServerId> expired = List.copyOf(mExpired);
             mExpired.clear();
             expired.forEach(id -> withdrawn(id, nowNanos));
         }
+        mRestored.settle(nowNanos).forEach(entry -> published(entry, nowNanos));
+        updateOutOfService();
     }
 
     /**
@@ -273,15 +307,23 @@
         List<BackendServerId> missing = new ArrayList<>(mServers.keySet());
         missing.removeAll(listed);
         missing.forEach(id -> withdrawn(id, nowNanos));
+        mRestored.retain(listed);
     }
 
     /**
-     * Sets the failure domains that are out of service.
+     * Sets the failure domains that are published as out of service.
      *
      * @param out the failure domains that get no new work
      */
     void outOfService(Collection<FailureDomain> out) {
-        if (!mOutOfService.equals(Set.copyOf(out))) {
+        mRestored.publishedOutOfService(out);
+        updateOutOfService();
+    }
+
+    /** Applies a change of the failure domains that are out of service. */
+    private void updateOutOfService() {
+        Set<FailureDomain> out = mRestored.outOfService();
+        if (!mOutOfService.equals(out)) {
             mOutOfService.clear();
             mOutOfService.addAll(out);
             mInService.clear();
--- a/router/src/main/java/org/magnoliaseam/platform/PlatformFeed.java
+++ b/router/src/main/java/org/magnoliaseam/platform/PlatformFeed.java
@@ -1,11 +1,13 @@
 package org.magnoliaseam.platform;
 
+import java.time.Duration;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.Consumer;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.eclipse.jetty.client.HttpClient;
@@ -15,6 +17,7 @@
 import org.magnoliaseam.gateway.CurrentCatalog;
 import org.magnoliaseam.gateway.PublishedRevision;
 import org.magnoliaseam.gateway.PublishedServers;
+import org.magnoliaseam.leaving.RestoredPublication;
 import org.magnoliaseam.model.BackendServerId;
 import org.magnoliaseam.model.FailureDomain;
 import org.magnoliaseam.rollout.ContactSchedule;
@@ -52,6 +55,9 @@
     /** Watches all keys, since each call of the store counts. */
     private final StoreWatch mWatch;
 
+    /** The time in which everything that a restored store has lost is written again. */
+    private final Duration mRewriteLimit;
+
     /** The failure domains that are out of service. */
     private final Set<FailureDomain> mOutOfService = new HashSet<>();
 
@@ -78,6 +84,7 @@
         mCurrentCatalog = currentCatalog;
         mServers = servers;
         mPublished = published;
+        mRewriteLimit = RestoredPublication.limit(settings.serverHeartbeat());
         StoreClient store = new StoreClient(client, settings.storeAddress());
         ContactSchedule schedule =
                 new ContactSchedule(settings.storeContactLimit(), new Random(), clock.nanos());
@@ -118,15 +125,22 @@
             @Override
             public void snapshot(List<StoreItem> items) {
                 mOutOfService.clear();
-                items.forEach(PlatformFeed.this::apply);
+                items.forEach(item -> apply(item, mServers::listed));
                 mServers.takeOut(mOutOfService);
                 mServers.retain(listed(items));
                 mRead.set(true);
             }
 
+            @Override
+            public void restored(List<StoreItem> items) {
+                mCurrentCatalog.publisherRestored(mRewriteLimit);
+                mServers.publisherRestored(mRewriteLimit);
+                snapshot(items);
+            }
+
             @Override
             public void changed(List<StoreItem> changes) {
-                changes.forEach(PlatformFeed.this::apply);
+                changes.forEach(item -> apply(item, mServers::add));
                 mServers.takeOut(mOutOfService);
             }
 
@@ -163,10 +177,11 @@
      * Applies a change. One that cannot be applied does not keep the others from being applied.
      *
      * @param item the item or its removal
+     * @param servers receives the entry of a backend server
      */
-    private void apply(StoreItem item) {
+    private void apply(StoreItem item, Consumer<ServerEntry> servers) {
         try {
-            applyItem(item);
+            applyItem(item, servers);
         } catch (RuntimeException | StackOverflowError e) {
             LOG.error("store: change refused, key={} revision={}", item.key(), item.revision(), e);
         }
@@ -177,10 +192,11 @@
      * Applies a change of any key; other keys are ignored.
      *
      * @param item the item or its removal
+     * @param servers receives the entry of a backend server
      */
-    private void applyItem(StoreItem item) {
+    private void applyItem(StoreItem item, Consumer<ServerEntry> servers) {
         if (item.key().startsWith(SERVER_PREFIX)) {
-            applyServerItem(item);
+            applyServerItem(item, servers);
         } else {
             applyOperatorItem(item);
         }
@@ -231,8 +247,9 @@
      * Applies the entry of a backend server. An invalid entry withdraws the server.
      *
      * @param item the item or its removal
+     * @param servers receives the entry
      */
-    private void applyServerItem(StoreItem item) {
+    private void applyServerItem(StoreItem item, Consumer<ServerEntry> servers) {
         Optional<BackendServerId> id = id(item);
         if (id.isEmpty()) {
             LOG.warn("store: entry refused, key={} reason=the id is malformed", item.key());
@@ -241,7 +258,7 @@
         } else {
             Result<ServerEntry, String> decoded = ServerDecoder.decode(id.get(), item.value());
             if (decoded instanceof Result.Ok<ServerEntry, String> ok) {
-                mServers.add(ok.value());
+                servers.accept(ok.value());
             } else if (decoded instanceof Result.Err<ServerEntry, String> err) {
                 LOG.warn("store: entry refused, key={} reason={}", item.key(), err.error());
                 mServers.withdraw(id.get());
--- a/router/src/main/java/org/magnoliaseam/platform/StoreListener.java
+++ b/router/src/main/java/org/magnoliaseam/platform/StoreListener.java
@@ -12,6 +12,14 @@
      */
     void snapshot(List<StoreItem> items);
 
+    /**
+     * Receives all items after the store came back from a copy. They are older than some that were
+     * delivered before; everything that the copy lacks is written again.
+     *
+     * @param items the items
+     */
+    void restored(List<StoreItem> items);
+
     /**
      * Receives changes in the order in which they were made.
      *
--- a/router/src/main/java/org/magnoliaseam/platform/StoreWatch.java
+++ b/router/src/main/java/org/magnoliaseam/platform/StoreWatch.java
@@ -213,7 +213,7 @@
             failed(call, new StoreException("older state, revision " + page.revision(), 0));
         } else if (failure == null && !call.full() && page.revision().isRestoredSince(mNewest)) {
             // These changes continue a state that was never read.
-            readAll("store came back from a copy, revision=" + page.revision());
+            readAll("the store came back from an older copy");
         } else if (failure == null) {
             answered(call, page);
         } else if (cause(failure) instanceof StoreException store && store.status() == GONE) {
@@ -244,10 +244,17 @@
      */
     private void answered(Call call, StorePage page) {
         mOpen.clear();
+        boolean restored = page.revision().isRestoredSince(mNewest);
         boolean changed = !page.items().isEmpty();
         mSchedule.answered(changed || isEarly(call), mClock.nanos());
         recordContact(call);
-        if (call.full()) {
+        if (restored) {
+            LOG.warn(
+                    "store: came back from an older copy, revision={} known={}",
+                    page.revision(),
+                    mNewest);
+            mListener.restored(page.items());
+        } else if (call.full()) {
             mListener.snapshot(page.items());
         } else if (changed) {
             mListener.changed(page.items());
--- a/router/src/main/java/org/magnoliaseam/route/GatewayFactory.java
+++ b/router/src/main/java/org/magnoliaseam/route/GatewayFactory.java
@@ -121,7 +121,7 @@
                 new GatewayParts(
                         pool, serverProtocol, new PermitDatagrams(gossip), log, failures, mClock);
         Gateway gateway = new Gateway(parts);
-        gauges(metrics, currentCatalog, pool, gateway);
+        gauges(metrics, currentCatalog, published, pool, gateway);
         gauges(metrics, parts.permits());
         gauges(metrics, mConnections.notices());
         PlatformFeed feed =
@@ -211,18 +211,21 @@
      *
      * @param metrics the registry for the gauges
      * @param currentCatalog the catalog in force
+     * @param published the newest applied change of the publisher
      * @param pool the backend servers
      * @param gateway the requests in progress
      */
     private static void gauges(
             MetricRegistry metrics,
             CurrentCatalog currentCatalog,
+            PublishedRevision published,
             ServerPool pool,
             Gateway gateway) {
         metrics.registerGauge(
                 "gateway.catalog_version",
                 () -> currentCatalog.catalog().map(Catalog::version).orElse(0L));
         metrics.registerGauge("gateway.catalog_fresh", () -> currentCatalog.fresh() ? 1 : 0);
+        metrics.registerGauge("gateway.publisher_era", () -> published.newest().era());
         metrics.registerGauge("gateway.backend_servers", pool::size);
         metrics.registerGauge("gateway.active", gateway::active);
         metrics.registerGauge("gateway.overdue", gateway::overdue);
--- a/router/src/main/java/org/magnoliaseam/settings/StoreSettings.java
+++ b/router/src/main/java/org/magnoliaseam/settings/StoreSettings.java
@@ -26,6 +26,8 @@
  * @param stopGrace the time between the stop signal and the forced end of the process
  * @param crossingCost the time that a request has to save by leaving its failure domain; 0 if
  *     failure domains decide only between equal backend servers
+ * @param serverHeartbeat the interval at which backend servers write their entries to the metadata
+ *     store
  */
 public record StoreSettings(
         VmId vm,
@@ -40,4 +42,5 @@
         double retryRatio,
         double retrySlack,
         Duration stopGrace,
-        Duration crossingCost) {}
+        Duration crossingCost,
+        Duration serverHeartbeat) {}
--- a/router/src/main/java/org/magnoliaseam/settings/load/StoreSettingsLoader.java
+++ b/router/src/main/java/org/magnoliaseam/settings/load/StoreSettingsLoader.java
@@ -65,7 +65,8 @@
                         reader.read(StoreKeys.RETRY_RATIO),
                         reader.read(StoreKeys.RETRY_SLACK),
                         reader.read(StoreKeys.STOP_GRACE),
-                        reader.read(StoreKeys.CROSSING_COST));
+                        reader.read(StoreKeys.CROSSING_COST),
+                        reader.read(StoreKeys.SERVER_HEARTBEAT));
         if (faults.isEmpty()) {
             return Result.ok(settings);
         }
--- a/router/src/main/java/org/magnoliaseam/settings/schema/StoreKeys.java
+++ b/router/src/main/java/org/magnoliaseam/settings/schema/StoreKeys.java
@@ -64,6 +64,14 @@
             KeySpec.optional(
                     "crossing-cost", ValueTypes.duration("0 s", "1 s"), Scope.LOCAL, Duration.ZERO);
 
+    /** The interval at which backend servers write their entries to the metadata store. */
+    public static final KeySpec<Duration> SERVER_HEARTBEAT =
+            KeySpec.optional(
+                    "server-heartbeat",
+                    ValueTypes.duration("100 ms", "1 min"),
+                    Scope.LOCAL,
+                    Duration.ofMillis(1200));
+
     /** The table of all keys. */
     public static final TableSpec TABLE =
             new TableSpec(
@@ -82,7 +90,8 @@
                             RETRY_RATIO,
                             RETRY_SLACK,
                             STOP_GRACE,
-                            CROSSING_COST));
+                            CROSSING_COST,
+                            SERVER_HEARTBEAT));
 
     /** Prevents instances of this utility class. */
     private StoreKeys() {}
--- a/router/src/test/java/org/magnoliaseam/platform/PlatformFeedTest.java
+++ b/router/src/test/java/org/magnoliaseam/platform/PlatformFeedTest.java
@@ -120,7 +120,8 @@
                 0,
                 0,
                 Duration.ofSeconds(1),
-                Duration.ZERO);
+                Duration.ZERO,
+                Duration.ofMillis(1200));
     }
 
     private static String item(String key, String value, long revision) {
--- a/router/src/test/java/org/magnoliaseam/platform/StoreOutageTest.java
+++ b/router/src/test/java/org/magnoliaseam/platform/StoreOutageTest.java
@@ -142,7 +142,8 @@
                 0,
                 0,
                 Duration.ofSeconds(1),
-                Duration.ZERO);
+                Duration.ZERO,
+                Duration.ofMillis(1200));
     }
 
     private void add(FaultyStore.Fault fault, long firstEndMillis, long cycleMillis)
