Keep reading published values after one that could not be applied

Cause, by reading, on the chat path: Watch.completed schedules the next read after it has delivered a value. A listener that throws left no read scheduled, so no later configuration or VM list was ever read by that process; nothing said so. No input is known that throws there. Change: what a listener throws is logged, and the read counts as failed, so the next one follows after the usual pause.

--- a/router/src/main/java/org/magnoliaseam/publication/Watch.java
+++ b/router/src/main/java/org/magnoliaseam/publication/Watch.java
@@ -153,10 +153,8 @@
      */
     private void completed(Result result, String body) {
         int status = result.isFailed() ? 0 : result.getResponse().getStatus();
-        boolean answered = status == HttpStatus.OK_200 || status == HttpStatus.NOT_MODIFIED_304;
-        if (status == HttpStatus.OK_200) {
-            mListener.changed(body);
-        }
+        boolean answered =
+                status == HttpStatus.NOT_MODIFIED_304 || status == HttpStatus.OK_200 && apply(body);
         synchronized (this) {
             logTransition(answered, status);
             ReadOutcome outcome = answered ? ReadOutcome.ANSWERED : ReadOutcome.FAILED;
@@ -164,6 +162,22 @@
         }
     }
 
+    /**
+     * Delivers a value. One that cannot be applied does not end the reads.
+     *
+     * @param body the text of the value
+     * @return false if the listener threw
+     */
+    private boolean apply(String body) {
+        try {
+            mListener.changed(body);
+            return true;
+        } catch (RuntimeException e) {
+            LOG.error("platform: value not applied, path={}", mAddress.getPath(), e);
+            return false;
+        }
+    }
+
     /**
      * Logs the first of several consecutive failures, and the first success after them.
      *
