Number the permits of each start of an entry VM differently

An entry VM numbered its permits from 1 at each start. The homes of engines know a permit by entry VM and number for 3 s: after a restart they took the first prompts for those of the earlier start and did not count them beside these, and a late answer or notice of the earlier start met a permit of the later one. Change: PermitIds begins at a random number. Evidence: PermitTest.permitsOfAnEarlierStartOfAVmCountBesideThoseOfTheLaterOne, red with numbers from 1 (the second prompt beyond the limit is granted), green now. SlotPermitTest and GossipTest take the numbers as a dependency; their checks are unchanged.

--- a/router/src/main/java/org/magnoliaseam/gateway/GatewayParts.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/GatewayParts.java
@@ -1,7 +1,9 @@
 package org.magnoliaseam.gateway;
 
+import java.util.Random;
 import org.magnoliaseam.failure.FailureLog;
 import org.magnoliaseam.permit.EnginePermits;
+import org.magnoliaseam.permit.PermitIds;
 import org.magnoliaseam.permit.PermitSender;
 import org.magnoliaseam.time.MonotonicClock;
 
@@ -65,7 +67,8 @@
         this(
                 pool,
                 port,
-                new EnginePermits(peers, pool::membership, failures, clock),
+                new EnginePermits(
+                        new PermitIds(new Random()), peers, pool::membership, failures, clock),
                 new WaitingCalls(failures, clock),
                 AnswerMemory.ofHeap(),
                 log,
--- a/router/src/main/java/org/magnoliaseam/permit/EnginePermits.java
+++ b/router/src/main/java/org/magnoliaseam/permit/EnginePermits.java
@@ -5,7 +5,6 @@
 import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
-import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.magnoliaseam.failure.FailedStep;
@@ -57,7 +56,7 @@
     private final HeldPermits mHeld = new HeldPermits();
 
     /** Numbers the permits. */
-    private final AtomicLong mIds = new AtomicLong();
+    private final PermitIds mIds;
 
     /**
      * Holds an unanswered question.
@@ -98,16 +97,19 @@
     /**
      * Creates permits.
      *
+     * @param ids numbers the permits
      * @param sender sends messages to other entry VMs
      * @param members provides the entry VMs that may be alive
      * @param failures logs unexpected failures
      * @param clock the clock
      */
     public EnginePermits(
+            PermitIds ids,
             PermitSender sender,
             Supplier<Membership> members,
             FailureLog failures,
             MonotonicClock clock) {
+        mIds = ids;
         mSender = sender;
         mMembers = members;
         mFailures = failures;
@@ -120,7 +122,7 @@
      * @return the number
      */
     public long nextId() {
-        return mIds.incrementAndGet();
+        return mIds.next();
     }
 
     /**
--- a/router/src/test/java/org/magnoliaseam/gossip/GossipTest.java
+++ b/router/src/test/java/org/magnoliaseam/gossip/GossipTest.java
@@ -20,6 +20,7 @@
 import org.magnoliaseam.model.ServiceName;
 import org.magnoliaseam.permit.EnginePermits;
 import org.magnoliaseam.permit.PermitDatagrams;
+import org.magnoliaseam.permit.PermitIds;
 import org.magnoliaseam.rollout.Revision;
 import org.magnoliaseam.spillover.Crossing;
 import org.magnoliaseam.spillover.DomainDemand;
@@ -97,6 +98,7 @@
         PeerEndpoint peer = new PeerEndpoint("10.0.0.1", 1);
         EnginePermits permits =
                 new EnginePermits(
+                        new PermitIds(new Random(1)),
                         (to, message) -> {},
                         () -> null,
                         new FailureLog(new MetricRegistry(), () -> 0),
--- a/router/src/test/java/org/magnoliaseam/permit/PermitTest.java
+++ b/router/src/test/java/org/magnoliaseam/permit/PermitTest.java
@@ -11,6 +11,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.atomic.AtomicLong;
 import org.junit.jupiter.api.Nested;
@@ -143,6 +144,8 @@
 
         private final List<PermitOutcome> mOutcomes = new ArrayList<>();
 
+        private final Random mRandom = new Random(1);
+
         private boolean mLossy;
 
         private EnginePermits permits(int own) {
@@ -154,6 +157,7 @@
             }
             Membership members = new Membership(vm(own), others, 9, true);
             return new EnginePermits(
+                    new PermitIds(mRandom),
                     (peer, message) -> {
                         if (!mLossy) {
                             mVms.get(peer).heard(vm(own), message);
@@ -180,6 +184,18 @@
             assertThat(mOutcomes).filteredOn(PermitOutcome.Busy.class::isInstance).hasSize(7);
         }
 
+        @Test
+        void permitsOfAnEarlierStartOfAVmCountBesideThoseOfTheLaterOne() {
+            start();
+            EnginePermits earlier = mVms.get(FIRST);
+            earlier.ask(ask(earlier.nextId(), 0, 600, 500), mOutcomes::add);
+            mVms.put(FIRST, permits(1));
+            EnginePermits later = mVms.get(FIRST);
+            later.ask(ask(later.nextId(), 0, 600, 500), mOutcomes::add);
+            assertThat(mOutcomes).hasSize(2);
+            assertThat(mOutcomes.get(1)).isInstanceOf(PermitOutcome.Busy.class);
+        }
+
         @Test
         void endedPermitsMakeRoomForOtherVms() {
             start();
--- a/router/src/test/java/org/magnoliaseam/permit/SlotPermitTest.java
+++ b/router/src/test/java/org/magnoliaseam/permit/SlotPermitTest.java
@@ -43,6 +43,8 @@
         private static final long VALID_MILLIS = 3000;
 
         private final Random mRandom = new Random(1);
+
+        private final Random mStarts = new Random(2);
         private final Map<PeerEndpoint, EnginePermits> mLive = new HashMap<>();
         private final Map<PeerEndpoint, Set<PeerEndpoint>> mUnseen = new HashMap<>();
         private final Map<BackendServerId, Integer> mRunning = new HashMap<>();
@@ -104,6 +106,7 @@
             mLive.put(
                     own,
                     new EnginePermits(
+                            new PermitIds(mStarts),
                             (peer, message) -> send(own, peer, message),
                             () -> members(own),
                             new FailureLog(new MetricRegistry(), () -> mNow),
