Restore the store from a copy in the fault soak

Change: fault STORE_RESTORED. Seeds below 10,000 draw it apart, so they draw what they drew beside it; seeds from 20,000 on draw it among what it may lose.

--- a/testbed/src/main/java/org/magnoliaseam/testbed/soak/SoakFault.java
+++ b/testbed/src/main/java/org/magnoliaseam/testbed/soak/SoakFault.java
@@ -75,7 +75,9 @@
     /** Makes a sound server fall silent and go on. */
     SERVER_HANGS(300, 1500, (site, target) -> site.server(target).hang()),
     /** Makes all servers fall silent at once and go on. */
-    SERVERS_HANG(300, 1500, (site, target) -> site.hang());
+    SERVERS_HANG(300, 1500, (site, target) -> site.hang()),
+    /** Makes the store come back from a copy that is as old as the fault lasts. */
+    STORE_RESTORED(300, 2500, (site, target) -> site.storeRestored());
 
     /** The number of faults that plans draw; the later ones have plans of their own. */
     static final int FIRST_NOTICE = SERVER_SAYS_LEAVING.ordinal();
@@ -83,6 +85,9 @@
     /** The position of the first fault that only makes servers silent. */
     static final int FIRST_SILENCE = SERVER_HANGS.ordinal();
 
+    /** The position of the first fault in which the store loses what it has acknowledged. */
+    static final int FIRST_RESTORE = STORE_RESTORED.ordinal();
+
     /** The shortest and the longest duration in milliseconds. */
     private final int[] mMillis;
 
--- a/testbed/src/main/java/org/magnoliaseam/testbed/soak/SoakPlan.java
+++ b/testbed/src/main/java/org/magnoliaseam/testbed/soak/SoakPlan.java
@@ -10,6 +10,9 @@
     /** The first seed that draws silences of sound servers and planned changes alone. */
     static final long FIRST_SILENCE_SEED = 10_000;
 
+    /** The first seed that draws restores of the store among the changes that they may lose. */
+    static final long FIRST_RESTORE_SEED = 20_000;
+
     /** The shortest and the longest time between two draws in milliseconds. */
     private static final int[] GAP_MILLIS = {150, 1400};
 
@@ -25,6 +28,23 @@
     /** Tells the draw of silences from that of the other faults of a seed. */
     private static final long SILENCE_SEED = 0x511eL << 32;
 
+    /** The shortest and the longest time between two draws of restores in milliseconds. */
+    private static final int[] RESTORE_GAP_MILLIS = {3000, 9000};
+
+    /** Tells the draw of restores from that of the other faults of a seed. */
+    private static final long RESTORE_SEED = 0x4e57L << 32;
+
+    /** What is drawn among restores by the seeds for them. */
+    private static final List<SoakFault> AMONG_RESTORES =
+            List.of(
+                    SoakFault.CONFIGURE,
+                    SoakFault.EVACUATE,
+                    SoakFault.SERVER_DRAIN,
+                    SoakFault.SERVER_CRASH,
+                    SoakFault.KILL,
+                    SoakFault.RELOAD,
+                    SoakFault.STORE_ONE_WAY);
+
     /** The shortest and the longest time between the faults of a series in milliseconds. */
     private static final int[] SERIES_GAP_MILLIS = {200, 1200};
 
@@ -46,7 +66,13 @@
         List<SoakFault> all = List.of(SoakFault.values());
         List<SoakFault> first = all.subList(0, SoakFault.FIRST_NOTICE);
         List<SoakFault> notices = all.subList(SoakFault.FIRST_NOTICE, SoakFault.FIRST_SILENCE);
-        List<SoakFault> silences = all.subList(SoakFault.FIRST_SILENCE, all.size());
+        List<SoakFault> silences = all.subList(SoakFault.FIRST_SILENCE, SoakFault.FIRST_RESTORE);
+        List<SoakFault> restores = all.subList(SoakFault.FIRST_RESTORE, all.size());
+        if (seed >= FIRST_RESTORE_SEED) {
+            List<SoakFault> mixed = new ArrayList<>(restores);
+            mixed.addAll(AMONG_RESTORES);
+            return draw(new Random(seed), mixed, GAP_MILLIS, millis, targets);
+        }
         if (seed >= FIRST_SILENCE_SEED) {
             List<SoakFault> alone = new ArrayList<>(silences);
             alone.addAll(List.of(SoakFault.CONFIGURE, SoakFault.RELOAD));
@@ -58,6 +84,8 @@
         steps.addAll(draw(random, notices, NOTICE_GAP_MILLIS, millis, targets));
         random = new Random(seed ^ SILENCE_SEED);
         steps.addAll(draw(random, silences, SILENCE_GAP_MILLIS, millis, targets));
+        random = new Random(seed ^ RESTORE_SEED);
+        steps.addAll(draw(random, restores, RESTORE_GAP_MILLIS, millis, targets));
         return steps;
     }
 
--- a/testbed/src/main/java/org/magnoliaseam/testbed/soak/SoakServer.java
+++ b/testbed/src/main/java/org/magnoliaseam/testbed/soak/SoakServer.java
@@ -334,6 +334,19 @@
         };
     }
 
+    /** Writes the entry of the current backend server again. */
+    synchronized void writeAgain() {
+        Instance instance = current();
+        publish(instance, instance.mDrainingNanos == Long.MAX_VALUE ? "ready" : "draining");
+    }
+
+    /** Removes the entries of the earlier backend servers, which are not written any more. */
+    synchronized void expireEarlier() {
+        for (Instance earlier : mInstances.subList(0, mInstances.size() - 1)) {
+            mStore.delete("servers/" + earlier.id());
+        }
+    }
+
     @Override
     public void close() throws Exception {
         for (Instance instance : mInstances) {
--- a/testbed/src/main/java/org/magnoliaseam/testbed/soak/SoakSite.java
+++ b/testbed/src/main/java/org/magnoliaseam/testbed/soak/SoakSite.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.magnoliaseam.testbed.harness.Ports;
 import org.magnoliaseam.testbed.http.ListenAddress;
 import org.magnoliaseam.testbed.proxy.FaultProxy;
@@ -54,6 +55,9 @@
     /** When the store was disturbed. */
     private final DisturbanceLog mStoreDisturbances = new DisturbanceLog();
 
+    /** Whether the store is about to come back from a copy. */
+    private final AtomicBoolean mRestoring = new AtomicBoolean();
+
     /** The number of faults that keep the store stopped. */
     private int mStoreDown;
 
@@ -304,6 +308,36 @@
         interval.end();
     }
 
+    /**
+     * Takes a copy of the store, unless another one is to be restored.
+     *
+     * @return restores the copy
+     */
+    AutoCloseable storeRestored() {
+        if (!mRestoring.compareAndSet(false, true)) {
+            return () -> {};
+        }
+        StoreRestore restore = new StoreRestore(this, mStore);
+        return () -> {
+            restore.close();
+            mRestoring.set(false);
+        };
+    }
+
+    /** Writes the configuration and the failure domains out of service again. */
+    synchronized void writeAgain() {
+        int version = mVersions.get(mVersions.size() - 1).version();
+        mStore.put("op/config", CONFIGURATION.formatted(version));
+        for (SoakServer server : mServers) {
+            String key = "op/evacuate/" + server.domain();
+            if (mEvacuations.stream().anyMatch(out -> out.isOpen(server.domain()))) {
+                mStore.put(key, "{}");
+            } else {
+                mStore.delete(key);
+            }
+        }
+    }
+
     /**
      * Takes a failure domain out of service.
      *
--- a/testbed/src/test/java/org/magnoliaseam/testbed/soak/SoakPlanTest.java
+++ b/testbed/src/test/java/org/magnoliaseam/testbed/soak/SoakPlanTest.java
@@ -49,6 +49,16 @@
                         SoakFault.RELOAD);
     }
 
+    @Test
+    void lastSeedsDrawRestoresAmongTheChangesThatTheyMayLose() {
+        Set<SoakFault> drawn = new HashSet<>();
+        for (long seed = SoakPlan.FIRST_RESTORE_SEED; drawn.size() < 8; seed++) {
+            SoakPlan.draw(seed, 15_000, 3).forEach(step -> drawn.add(step.fault()));
+        }
+        assertThat(drawn)
+                .contains(SoakFault.STORE_RESTORED, SoakFault.CONFIGURE, SoakFault.EVACUATE);
+    }
+
     private static boolean overlaps(List<SoakStep> steps, SoakStep step) {
         return steps.stream()
                 .anyMatch(
