Keep periodic tasks and watches running after an error

Cause, by reading: the tick of a process at a store site caught exceptions only, so an error (a stack overflow, a class that cannot be loaded within the limit of the metaspace) ended it for good, and with it every deadline of that process; the reload of settings was not guarded at all. The watch of the store and the periodic tasks of the chat path had the same gap; one peer connection whose check throws ended the checks of all. No input is known that throws there. Change: all periodic tasks of a store site run under FailureLog (counter gateway.failures.tick); the others catch errors too; checks of peer connections fail alone.

--- a/router/src/main/java/org/magnoliaseam/peer/PeerNode.java
+++ b/router/src/main/java/org/magnoliaseam/peer/PeerNode.java
@@ -347,8 +347,21 @@
 
     /** Sends pings and closes connections that are stuck or no longer needed. */
     private void tick() {
-        mDialers.values().forEach(Dialer::tick);
-        mListener.tick();
-        mTemporaryDialers.tick();
+        mDialers.values().forEach(dialer -> guard(dialer::tick));
+        guard(mListener::tick);
+        guard(mTemporaryDialers::tick);
+    }
+
+    /**
+     * Runs a periodic check. What it throws ends neither the other checks nor later runs.
+     *
+     * @param check the check
+     */
+    private static void guard(Runnable check) {
+        try {
+            check.run();
+        } catch (RuntimeException | Error e) {
+            LOG.error("peer: a periodic check failed", e);
+        }
     }
 }
--- a/router/src/main/java/org/magnoliaseam/platform/StoreWatch.java
+++ b/router/src/main/java/org/magnoliaseam/platform/StoreWatch.java
@@ -134,7 +134,7 @@
             } catch (InterruptedException e) {
                 Thread.currentThread().interrupt();
                 return;
-            } catch (RuntimeException e) {
+            } catch (RuntimeException | Error e) {
                 LOG.error("store: watch failed, prefix={}", mPrefix, e);
             }
         }
--- a/router/src/main/java/org/magnoliaseam/publication/Watch.java
+++ b/router/src/main/java/org/magnoliaseam/publication/Watch.java
@@ -172,7 +172,7 @@
         try {
             mListener.changed(body);
             return true;
-        } catch (RuntimeException e) {
+        } catch (RuntimeException | Error e) {
             LOG.error("platform: value not applied, path={}", mAddress.getPath(), e);
             return false;
         }
--- a/router/src/main/java/org/magnoliaseam/route/GatewayFactory.java
+++ b/router/src/main/java/org/magnoliaseam/route/GatewayFactory.java
@@ -122,8 +122,7 @@
                         pool, serverProtocol, new PermitDatagrams(gossip), log, failures, mClock);
         Gateway gateway = new Gateway(parts);
         gauges(metrics, currentCatalog, published, pool, gateway);
-        gauges(metrics, parts.permits());
-        gauges(metrics, mConnections.notices());
+        gauges(metrics, parts.permits(), mConnections.notices());
         PlatformFeed feed =
                 new PlatformFeed(
                         mSettings,
@@ -153,6 +152,7 @@
                 Executors.newSingleThreadScheduledExecutor(new NamedThreadFactory("timer")),
                 mShutdown,
                 mConnections,
+                failures,
                 mClock);
     }
 
@@ -181,25 +181,19 @@
     }
 
     /**
-     * Registers the gauges of the slots that homes of engines count.
+     * Registers the gauges of the slots that homes of engines count, and of the connections of
+     * callers that ended without an answer.
      *
      * @param metrics the registry for the gauges
      * @param permits the permits that this process holds and grants
+     * @param notices the notices of the connections
      */
-    private static void gauges(MetricRegistry metrics, EnginePermits permits) {
+    private static void gauges(
+            MetricRegistry metrics, EnginePermits permits, ConnectionNotices notices) {
         metrics.registerGauge("gateway.slots.held", permits::heldSlots);
         metrics.registerGauge("gateway.slots.used", permits::usedSlots);
         metrics.registerGauge("gateway.slots.reserved", permits::reservedSlots);
         metrics.registerGauge("gateway.slots.refused", permits::slotRefusals);
-    }
-
-    /**
-     * Registers the gauges of the connections of callers that ended without an answer.
-     *
-     * @param metrics the registry for the gauges
-     * @param notices the notices of the connections
-     */
-    private static void gauges(MetricRegistry metrics, ConnectionNotices notices) {
         for (UnansweredEnd reason : UnansweredEnd.values()) {
             metrics.registerGauge(
                     "callers.unanswered." + reason.text(), () -> notices.count(reason));
--- a/router/src/main/java/org/magnoliaseam/route/GatewayProcess.java
+++ b/router/src/main/java/org/magnoliaseam/route/GatewayProcess.java
@@ -9,6 +9,8 @@
 import org.eclipse.jetty.server.Server;
 import org.eclipse.jetty.server.ServerConnector;
 import org.magnoliaseam.caller.ObservedConnectionFactory;
+import org.magnoliaseam.failure.FailedStep;
+import org.magnoliaseam.failure.FailureLog;
 import org.magnoliaseam.gateway.Gateway;
 import org.magnoliaseam.gateway.ShutdownState;
 import org.magnoliaseam.gossip.DatagramReceiver;
@@ -84,6 +86,9 @@
     /** The connections of callers. */
     private final ObservedConnectionFactory mConnections;
 
+    /** Counts and logs failures of periodic tasks. */
+    private final FailureLog mFailures;
+
     /** The clock. */
     private final MonotonicClock mClock;
 
@@ -100,6 +105,7 @@
      * @param timers runs the periodic tasks
      * @param shutdown the progress of a planned stop
      * @param connections the connections of callers
+     * @param failures counts and logs failures of periodic tasks
      * @param clock the clock
      */
     GatewayProcess(
@@ -113,6 +119,7 @@
             ScheduledExecutorService timers,
             ShutdownState shutdown,
             ObservedConnectionFactory connections,
+            FailureLog failures,
             MonotonicClock clock) {
         mReload = reload;
         mServer = server;
@@ -124,6 +131,7 @@
         mTimers = timers;
         mShutdown = shutdown;
         mConnections = connections;
+        mFailures = failures;
         mClock = clock;
     }
 
@@ -139,14 +147,9 @@
         mFeed.start();
         mServer.start();
         mGossip.start(mTimers, mReceiver);
-        mTimers.scheduleWithFixedDelay(this::tick, TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
-        mTimers.scheduleWithFixedDelay(
-                this::closeLeaving,
-                CLOSE_LEAVING_MILLIS,
-                CLOSE_LEAVING_MILLIS,
-                TimeUnit.MILLISECONDS);
-        mTimers.scheduleWithFixedDelay(
-                mReload::check, RELOAD_MILLIS, RELOAD_MILLIS, TimeUnit.MILLISECONDS);
+        repeat(TICK_MILLIS, mGateway::tick);
+        repeat(CLOSE_LEAVING_MILLIS, mGateway::closeLeaving);
+        repeat(RELOAD_MILLIS, mReload::check);
         StoreSettings settings = mReload.get();
         LOG.info(
                 "route: started, vm={} domain={} callers={}",
@@ -197,22 +200,18 @@
         }
     }
 
-    /** Closes idle connections to leaving backend servers. */
-    private void closeLeaving() {
-        try {
-            mGateway.closeLeaving();
-        } catch (RuntimeException e) {
-            LOG.error("route: idle connections could not be closed", e);
-        }
-    }
-
-    /** Runs the periodic checks of the requests in progress. */
-    private void tick() {
-        try {
-            mGateway.tick();
-        } catch (RuntimeException e) {
-            LOG.error("route: a periodic task failed", e);
-        }
+    /**
+     * Repeats a task. A run that fails does not end the task.
+     *
+     * @param millis the time before each run in milliseconds
+     * @param task the task
+     */
+    private void repeat(long millis, Runnable task) {
+        mTimers.scheduleWithFixedDelay(
+                () -> mFailures.guard(FailedStep.TICK, "", task),
+                millis,
+                millis,
+                TimeUnit.MILLISECONDS);
     }
 
     /**
--- a/router/src/main/java/org/magnoliaseam/route/RouteProcess.java
+++ b/router/src/main/java/org/magnoliaseam/route/RouteProcess.java
@@ -253,7 +253,7 @@
                 () -> {
                     try {
                         task.run();
-                    } catch (RuntimeException e) {
+                    } catch (RuntimeException | Error e) {
                         LOG.error("route: a periodic task failed", e);
                     }
                 };
