--- a/router/src/main/java/org/magnoliaseam/gateway/CurrentCatalog.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/CurrentCatalog.java
@@ -25,8 +25,8 @@
     private final AtomicLong mConfirmedNanos;
 
     /**
-     * Whether the publisher has come back from a copy whose catalog is older than the current one
-     * and has published no later one since.
+     * Whether the publisher has published no catalog as new as the current one since it came back
+     * from an older copy.
      */
     private volatile boolean mBehind;
 
--- a/router/src/main/java/org/magnoliaseam/settings/schema/StoreKeys.java
+++ b/router/src/main/java/org/magnoliaseam/settings/schema/StoreKeys.java
@@ -68,7 +68,7 @@
     public static final KeySpec<Duration> SERVER_HEARTBEAT =
             KeySpec.optional(
                     "server-heartbeat",
-                    ValueTypes.duration("100 ms", "1 min"),
+                    ValueTypes.duration("10 ms", "10 min"),
                     Scope.LOCAL,
                     Duration.ofMillis(1200));
 
