Ask for permits at another entry VM in the test of their numbers

Cause, in the test: the entry VM that starts again was the home of the engine itself, so its ledger was gone as well and the later prompt was rightly granted. Change: the entry VM that starts again is not the home.

--- a/router/src/test/java/org/magnoliaseam/permit/PermitTest.java
+++ b/router/src/test/java/org/magnoliaseam/permit/PermitTest.java
@@ -187,10 +187,10 @@
         @Test
         void permitsOfAnEarlierStartOfAVmCountBesideThoseOfTheLaterOne() {
             start();
-            EnginePermits earlier = mVms.get(FIRST);
+            EnginePermits earlier = mVms.get(SECOND);
             earlier.ask(ask(earlier.nextId(), 0, 600, 500), mOutcomes::add);
-            mVms.put(FIRST, permits(1));
-            EnginePermits later = mVms.get(FIRST);
+            mVms.put(SECOND, permits(2));
+            EnginePermits later = mVms.get(SECOND);
             later.ask(ask(later.nextId(), 0, 600, 500), mOutcomes::add);
             assertThat(mOutcomes).hasSize(2);
             assertThat(mOutcomes.get(1)).isInstanceOf(PermitOutcome.Busy.class);
