Count a refusal of a soak server only if it can have arrived

Change: faults of the link, silences, crashes and the reset at a later start are logged as possible losses; a refusal that arrived within one, or up to 100 ms before one, is left out. All others are checked as before.

--- a/testbed/src/main/java/org/magnoliaseam/testbed/soak/SoakNoticeChecker.java
+++ b/testbed/src/main/java/org/magnoliaseam/testbed/soak/SoakNoticeChecker.java
@@ -19,6 +19,9 @@
     /** The time in which requests may still be on their way to a server, in nanoseconds. */
     private static final long ON_THE_WAY_NANOS = 500_000_000L;
 
+    /** The time in which an answer reaches its entry VM, in nanoseconds. */
+    private static final long ANSWER_NANOS = 100_000_000L;
+
     /** The requests that a process may send to a server that wants none. */
     private static final int MAX_UNWANTED = 2;
 
@@ -70,7 +73,7 @@
                     }
                 }
                 byProcess.values().forEach(sent -> checkLeaving(instance, sent));
-                byProcess.values().forEach(sent -> checkPushback(instance, sent));
+                byProcess.values().forEach(sent -> checkPushback(slot, instance, sent));
             }
         }
         return mViolations;
@@ -100,25 +103,29 @@
     }
 
     /**
-     * Checks that a process sends few requests to a server that wants none.
+     * Checks that a process sends few requests to a server that wants none. A refusal that may have
+     * been lost on its way tells a process nothing.
      *
+     * @param slot the slot of the server
      * @param instance the server
      * @param sent the requests that the process sent there, in order of arrival
      */
-    private void checkPushback(SoakServer.Instance instance, List<Sent> sent) {
+    private void checkPushback(SoakServer slot, SoakServer.Instance instance, List<Sent> sent) {
         for (Sent refused : sent) {
-            long begin = refused.arrival().nanos() + ON_THE_WAY_NANOS;
+            long arrival = refused.arrival().nanos();
+            if (slot.losses().count(arrival, arrival + ANSWER_NANOS) > 0) {
+                continue;
+            }
+            long begin = arrival + ON_THE_WAY_NANOS;
             long millis = refused.arrival().notices().pushbackMillis();
-            long end = refused.arrival().nanos() + millis * NANOS_PER_MILLI;
+            long end = arrival + millis * NANOS_PER_MILLI;
             long unwanted =
                     sent.stream()
                             .mapToLong(one -> one.arrival().nanos())
                             .filter(nanos -> nanos > begin && nanos < end)
                             .count();
             boolean disturbed =
-                    !mSite.router(refused.call().router())
-                            .disturbances()
-                            .undisturbed(refused.arrival().nanos(), end);
+                    !mSite.router(refused.call().router()).disturbances().undisturbed(arrival, end);
             if (unwanted > MAX_UNWANTED && !disturbed) {
                 mViolations.add(
                         "%d requests reached %s within %d ms after the refusal of %s"
--- a/testbed/src/main/java/org/magnoliaseam/testbed/soak/SoakServer.java
+++ b/testbed/src/main/java/org/magnoliaseam/testbed/soak/SoakServer.java
@@ -39,6 +39,9 @@
     /** When the server was silent; these intervals are disturbances too. */
     private final DisturbanceLog mSilences = new DisturbanceLog();
 
+    /** When answers of the server could be lost; these intervals are disturbances too. */
+    private final DisturbanceLog mLosses = new DisturbanceLog();
+
     /** All backend servers of this slot in the order of their starts. */
     private final List<Instance> mInstances = new CopyOnWriteArrayList<>();
 
@@ -196,6 +199,15 @@
         return mSilences;
     }
 
+    /**
+     * Returns when answers of the server could be lost.
+     *
+     * @return the faults of the link, the silences and the crashes
+     */
+    DisturbanceLog losses() {
+        return mLosses;
+    }
+
     /**
      * Makes the current backend server fall silent.
      *
@@ -204,10 +216,12 @@
     synchronized AutoCloseable hang() {
         DisturbanceLog.Interval disturbance = mDisturbances.begin();
         DisturbanceLog.Interval silence = mSilences.begin();
+        DisturbanceLog.Interval loss = mLosses.begin();
         AutoCloseable end = current().mServer.fallSilent();
         return () -> {
             end.close();
             silence.end();
+            loss.end();
             disturbance.end();
         };
     }
@@ -220,10 +234,12 @@
      */
     synchronized AutoCloseable link(LinkFaults faults) {
         DisturbanceLog.Interval interval = mDisturbances.begin();
+        DisturbanceLog.Interval loss = mLosses.begin();
         Instance instance = current();
         instance.mLink.apply(faults);
         return () -> {
             instance.mLink.heal();
+            loss.end();
             interval.end();
         };
     }
@@ -256,12 +272,14 @@
         }
         mReplacing = true;
         DisturbanceLog.Interval interval = mDisturbances.begin();
+        DisturbanceLog.Interval loss = mLosses.begin();
         Instance instance = current();
         instance.mLink.apply(LinkFaults.both(Fault.RESET));
         return () -> {
             TimeUnit.MILLISECONDS.sleep(REMOVAL_DELAY_MILLIS);
             mStore.delete("servers/" + instance.id());
             start();
+            loss.end();
             interval.end();
         };
     }
@@ -307,7 +325,9 @@
      * @param instance the instance, which has left
      */
     private synchronized void startAgain(Instance instance) {
+        DisturbanceLog.Interval loss = mLosses.begin();
         instance.mServer.server().resetAll();
+        loss.end();
         instance.mServer.state(StatedNotices.NONE);
         instance.mServer.startAgain();
         instance.mReturnsNanos.add(System.nanoTime());
