--- a/testbed/src/main/java/org/magnoliaseam/testbed/soak/SoakRouter.java
+++ b/testbed/src/main/java/org/magnoliaseam/testbed/soak/SoakRouter.java
@@ -105,6 +105,7 @@
     synchronized void start() {
         if (mDown == 0 && (mProcess == null || !mProcess.alive())) {
             mStarts++;
+            mDisturbances.begin().end();
             mProcess = new ManagedProcess(mName, mFolder, mCommand);
         }
     }
