--- a/review/stand2/Site.java
+++ b/review/stand2/Site.java
@@ -43,6 +43,9 @@
 
     private final Thread mHook = new Thread(this::killAll);
 
+    /** The figure of bounds.grace_s in the settings that are written from now on. */
+    volatile String mGraceSeconds = "8";
+
     /** An entry VM: one process of the router. */
     static final class Vm {
         final String name;
@@ -99,8 +102,7 @@
 
     /** Writes the settings from the template of the deploy file and starts the process. */
     void start(Vm vm, String zone, int store, List<Vm> seeds, String... javaOptions) throws IOException {
-        Path settings = mFolder.resolve(vm.name + ".toml");
-        Files.writeString(settings, settings(vm, zone, store, seeds));
+        Path settings = writeSettings(vm, zone, store, seeds);
         List<String> command = new ArrayList<>();
         for (String word : deployed("run").split(" ")) {
             command.add(word.equals("/etc/magnoliaseam/node.toml") ? settings.toString() : word);
@@ -121,6 +123,13 @@
         record("%s started", vm.name);
     }
 
+    /** Writes the settings file of a VM anew. */
+    Path writeSettings(Vm vm, String zone, int store, List<Vm> seeds) throws IOException {
+        Path settings = mFolder.resolve(vm.name + ".toml");
+        Files.writeString(settings, settings(vm, zone, store, seeds));
+        return settings;
+    }
+
     String log(Vm vm) throws IOException {
         return Files.readString(mFolder.resolve(vm.name + ".log"));
     }
@@ -134,7 +143,7 @@
         throw new IOException("deploy/system.toml has no " + key);
     }
 
-    private static String settings(Vm vm, String zone, int store, List<Vm> seeds) throws IOException {
+    private String settings(Vm vm, String zone, int store, List<Vm> seeds) throws IOException {
         List<String> names = seeds.stream().map(seed -> '"' + HOST + ':' + seed.peers + '"').toList();
         Map<String, String> values = new LinkedHashMap<>();
         values.put("{{#seeds}}\"{{.}}\"{{,}}{{/seeds}}", String.join(",", names));
@@ -148,7 +157,7 @@
         values.put("{{bounds.stable_window_ms}}", "3000");
         values.put("{{bounds.retry_budget_ratio}}", "0.2");
         values.put("{{bounds.retry_budget_slack}}", "56");
-        values.put("{{bounds.grace_s}}", "8");
+        values.put("{{bounds.grace_s}}", mGraceSeconds);
         values.put("{{#heartbeat_ms}}", "");
         values.put("{{/heartbeat_ms}}", "");
         values.put("{{.}}", "1200");
