--- a/review/stand2/LargeBodies.java
+++ b/review/stand2/LargeBodies.java
@@ -15,15 +15,18 @@
 
     private static final int BODY_BYTES = 4_194_304;
 
-    /** The callers of each entry VM that send large bodies, with the disruption and without. */
+    /** The largest body that the site's own callers send. */
+    private static final int USUAL_BODY_BYTES = 110_000;
+
+    /** The callers of each entry VM that send bodies, with the disruption and without. */
     private static final int LARGE_CALLERS = 14;
 
     private static final int LARGE_CALLERS_WITHOUT_BURST = 1;
 
     private static final int SMALL_CALLERS = 6;
 
-    /** The memory of the smallest machine of the site, taken as MiB. */
-    private static final long MEMORY_KIB = 280 * 1024;
+    /** The memory of the smallest machine of the site, 280 MB. */
+    private static final long MEMORY_KIB = 280_000_000 / 1024;
 
     private static final int TIMEOUT_MILLIS = 5_000;
 
@@ -154,7 +157,7 @@
             pause(100);
             if (kept.inTouch()) {
                 try (Socket socket = connect(kept)) {
-                    call(kept, socket, name + "-" + i, "POST /stamp/x", BODY_BYTES);
+                    call(kept, socket, name + "-" + i, "POST /stamp/x", Site.trouble() ? BODY_BYTES : USUAL_BODY_BYTES);
                 } catch (IOException e) {
                     pause(100);
                 }
