--- a/review/stand2/SlowReader.java
+++ b/review/stand2/SlowReader.java
@@ -11,7 +11,7 @@
 
     private static final int ANSWER_BYTES = 8_000_000;
 
-    private static final int BYTES_PER_SECOND = 1_100_000;
+    private static final int BYTES_PER_SECOND = 1_050_000;
 
     private static final int RECEIVE_BUFFER_BYTES = 64 * 1024;
 
