--- a/review/stand2/Config.java
+++ b/review/Config2.java
@@ -4,7 +4,7 @@
 import java.util.List;
 
 /** Writes configurations as the users' pages describe them. */
-final class Config {
+final class Config2 {
 
     static final String HOST_NAME = "ledger.example";
 
@@ -12,14 +12,14 @@
 
     private final List<String> mTenants = new ArrayList<>();
 
-    Config route(String name, String prefix, String kind, int timeoutMillis) {
+    Config2 route(String name, String prefix, String kind, int timeoutMillis) {
         mRoutes.add("{\"name\":\"" + name + "\",\"host\":\"" + HOST_NAME + "\",\"prefix\":\"" + prefix
                 + "\",\"service\":\"bale-ledger\",\"kind\":\"" + kind + "\",\"max_attempts\":2,\"timeout_ms\":"
                 + timeoutMillis + ",\"target_latency_ms\":100,\"priority\":2}");
         return this;
     }
 
-    Config tenant(String name, String... keys) {
+    Config2 tenant(String name, String... keys) {
         mTenants.add("{\"name\":\"" + name + "\",\"api_keys\":[\"" + String.join("\",\"", keys) + "\"]}");
         return this;
     }
--- a/review/stand2/FractionalGrace.java
+++ b/review/FractionalGrace.java
@@ -28,33 +28,33 @@
     private FractionalGrace() {}
 
     public static void main(String[] args) {
-        Site.main(args[0], FractionalGrace::run);
+        Site2.main(args[0], FractionalGrace::run);
     }
 
-    private static boolean run(Site site) throws Exception {
-        Store store = new Store();
-        Replica replica = new Replica(site, "i-1", 800, 20);
-        store.put("op/config", new Config().route("stamp", "/stamp/", "unsafe", TIMEOUT_MILLIS)
+    private static boolean run(Site2 site) throws Exception {
+        Store2 store = new Store2();
+        Replica2 replica = new Replica2(site, "i-1", 800, 20);
+        store.put("op/config", new Config2().route("stamp", "/stamp/", "unsafe", TIMEOUT_MILLIS)
                 .tenant("mill", "key-of-mill").json(1));
         store.put("servers/i-1", replica.entry("bale-ledger", "fl-a"));
-        List<Site.Vm> vms = List.of(site.vm("front-fl-a-1"), site.vm("front-fl-b-1"));
-        for (Site.Vm vm : vms) {
+        List<Site2.Vm> vms = List.of(site.vm("front-fl-a-1"), site.vm("front-fl-b-1"));
+        for (Site2.Vm vm : vms) {
             site.start(vm, "fl-a", store.port, vms);
         }
-        for (Site.Vm vm : vms) {
+        for (Site2.Vm vm : vms) {
             site.awaitReady(vm, 20_000);
         }
         Thread.sleep(3_500);
         int before = send(site, vms);
-        site.mGraceSeconds = Site.trouble() ? GRACE_SECONDS : GRACE_SECONDS_WITHOUT;
-        for (Site.Vm vm : vms) {
+        site.mGraceSeconds = Site2.trouble() ? GRACE_SECONDS : GRACE_SECONDS_WITHOUT;
+        for (Site2.Vm vm : vms) {
             site.writeSettings(vm, "fl-a", store.port, vms);
             site.signal(vm, "HUP");
         }
         site.record("the settings change: grace_s is %s", site.mGraceSeconds);
         Thread.sleep(3_000);
         int machines = 0;
-        for (Site.Vm vm : vms) {
+        for (Site2.Vm vm : vms) {
             site.signal(vm, "TERM");
             vm.process.waitFor();
             site.record("%s has stopped as planned", vm.name);
@@ -67,16 +67,16 @@
     }
 
     /** Starts a process as the platform does, again if it ends; returns how often it ended by itself. */
-    private static int endsByItself(Site site, Site.Vm vm, int store, List<Site.Vm> seeds) throws Exception {
+    private static int endsByItself(Site2 site, Site2.Vm vm, int store, List<Site2.Vm> seeds) throws Exception {
         for (int ends = 0; ends < STARTS; ends++) {
             Thread.sleep(RESTART_MILLIS);
             site.start(vm, "fl-a", store, seeds);
-            long end = Site.millis() + READY_MILLIS;
-            while (Site.millis() < end && vm.process.isAlive() && !Site.isReady(vm)) {
+            long end = Site2.millis() + READY_MILLIS;
+            while (Site2.millis() < end && vm.process.isAlive() && !Site2.isReady(vm)) {
                 Thread.sleep(50);
             }
             if (vm.process.isAlive()) {
-                site.record("%s is ready: %s", vm.name, Site.isReady(vm));
+                site.record("%s is ready: %s", vm.name, Site2.isReady(vm));
                 return ends;
             }
             String log = site.log(vm).strip();
@@ -86,22 +86,22 @@
         return STARTS;
     }
 
-    private static int send(Site site, List<Site.Vm> vms) throws InterruptedException {
+    private static int send(Site2 site, List<Site2.Vm> vms) throws InterruptedException {
         int served = 0;
         for (int i = 0; i < REQUESTS; i++) {
-            Site.Vm vm = vms.get(i % vms.size());
+            Site2.Vm vm = vms.get(i % vms.size());
             String id = "rq" + ++sRequests;
             try (Socket socket = new Socket()) {
                 site.record("%s is sent to %s", id, vm.name);
-                socket.connect(new InetSocketAddress(Site.HOST, vm.callers), 1000);
+                socket.connect(new InetSocketAddress(Site2.HOST, vm.callers), 1000);
                 socket.setSoTimeout(3000);
-                socket.getOutputStream().write(Site.ascii("POST /stamp/x HTTP/1.1\r\nHost: " + Config.HOST_NAME
+                socket.getOutputStream().write(Site2.ascii("POST /stamp/x HTTP/1.1\r\nHost: " + Config2.HOST_NAME
                         + "\r\nX-Request-Id: " + id + "\r\nX-Deadline-Ms: " + TIMEOUT_MILLIS
                         + "\r\nContent-Length: 0\r\nAuthorization: Bearer key-of-mill\r\n\r\n"));
                 InputStream in = socket.getInputStream();
-                String head = Site.Http.head(in);
-                Site.Http.body(in, head);
-                int status = Site.Http.status(head);
+                String head = Site2.Http.head(in);
+                Site2.Http.body(in, head);
+                int status = Site2.Http.status(head);
                 served += status == 200 ? 1 : 0;
                 site.record("%s is answered %d", id, status);
             } catch (Exception e) {
--- a/review/stand2/LargeBodies.java
+++ b/review/LargeBodies.java
@@ -46,21 +46,21 @@
 
     private static volatile boolean sEnded;
 
-    private static Replica[] sReplicas;
+    private static Replica2[] sReplicas;
 
     private LargeBodies() {}
 
     /** An entry VM as the platform keeps it: it ends a process over its memory and starts it again. */
     private static final class Kept {
-        final Site site;
-        final Site.Vm vm;
+        final Site2 site;
+        final Site2.Vm vm;
         final int store;
-        final List<Site.Vm> seeds;
+        final List<Site2.Vm> seeds;
         final String zone;
         volatile long readyMillis = Long.MAX_VALUE;
         volatile int ends;
 
-        Kept(Site site, Site.Vm vm, String zone, int store, List<Site.Vm> seeds) {
+        Kept(Site2 site, Site2.Vm vm, String zone, int store, List<Site2.Vm> seeds) {
             this.site = site;
             this.vm = vm;
             this.zone = zone;
@@ -72,14 +72,14 @@
         void start() throws Exception {
             site.start(vm, zone, store, seeds, "-XX:MaxRAM=280m", "-XX:ActiveProcessorCount=1");
             site.awaitReady(vm, 20_000);
-            readyMillis = Site.millis();
+            readyMillis = Site2.millis();
         }
 
         void keep() {
             try {
                 long most = 0;
                 while (!sEnded) {
-                    long memory = vm.process.isAlive() ? Site.memoryKib(vm, "RssAnon") : 0;
+                    long memory = vm.process.isAlive() ? Site2.memoryKib(vm, "RssAnon") : 0;
                     most = Math.max(most, memory);
                     if (memory > MEMORY_KIB || !vm.process.isAlive()) {
                         readyMillis = Long.MAX_VALUE;
@@ -99,26 +99,26 @@
         }
 
         boolean inTouch() {
-            return readyMillis != Long.MAX_VALUE && Site.millis() - readyMillis >= STABLE_WINDOW_MILLIS;
+            return readyMillis != Long.MAX_VALUE && Site2.millis() - readyMillis >= STABLE_WINDOW_MILLIS;
         }
     }
 
     public static void main(String[] args) {
-        Site.main(args[0], LargeBodies::run);
+        Site2.main(args[0], LargeBodies::run);
     }
 
-    private static boolean run(Site site) throws Exception {
-        Store store = new Store();
-        sReplicas = new Replica[] {new Replica(site, "i-1", 800, 20), new Replica(site, "i-2", 800, 20),
-            new Replica(site, "i-3", 800, 20)};
-        store.put("op/config", new Config().route("stamp", "/stamp/", "unsafe", TIMEOUT_MILLIS)
+    private static boolean run(Site2 site) throws Exception {
+        Store2 store = new Store2();
+        sReplicas = new Replica2[] {new Replica2(site, "i-1", 800, 20), new Replica2(site, "i-2", 800, 20),
+            new Replica2(site, "i-3", 800, 20)};
+        store.put("op/config", new Config2().route("stamp", "/stamp/", "unsafe", TIMEOUT_MILLIS)
                 .route("lookup", "/lookup/", "safe", TIMEOUT_MILLIS).tenant("mill", "key-of-mill").json(1));
-        for (Replica replica : sReplicas) {
+        for (Replica2 replica : sReplicas) {
             store.put("servers/" + replica.id, replica.entry("bale-ledger", "fl-a"));
         }
-        List<Site.Vm> vms = List.of(site.vm("front-fl-a-1"), site.vm("front-fl-b-1"));
+        List<Site2.Vm> vms = List.of(site.vm("front-fl-a-1"), site.vm("front-fl-b-1"));
         List<Kept> all = new ArrayList<>();
-        for (Site.Vm vm : vms) {
+        for (Site2.Vm vm : vms) {
             Kept kept = new Kept(site, vm, vm == vms.get(0) ? "fl-a" : "fl-b", store.port, vms);
             kept.start();
             all.add(kept);
@@ -130,14 +130,14 @@
                 String name = "small-" + kept.vm.name + "-" + i;
                 threads.add(new Thread(() -> small(kept, name)));
             }
-            int large = Site.trouble() ? LARGE_CALLERS : LARGE_CALLERS_WITHOUT_BURST;
+            int large = Site2.trouble() ? LARGE_CALLERS : LARGE_CALLERS_WITHOUT_BURST;
             for (int i = 0; i < large; i++) {
                 String name = "large-" + kept.vm.name + "-" + i;
                 threads.add(new Thread(() -> large(kept, name)));
             }
         }
         threads.forEach(Thread::start);
-        while (Site.millis() < LIMIT_MILLIS && all.stream().anyMatch(kept -> kept.ends <= MAX_ENDS)) {
+        while (Site2.millis() < LIMIT_MILLIS && all.stream().anyMatch(kept -> kept.ends <= MAX_ENDS)) {
             Thread.sleep(100);
         }
         sEnded = true;
@@ -157,7 +157,7 @@
             pause(100);
             if (kept.inTouch()) {
                 try (Socket socket = connect(kept)) {
-                    call(kept, socket, name + "-" + i, "POST /stamp/x", Site.trouble() ? BODY_BYTES : USUAL_BODY_BYTES);
+                    call(kept, socket, name + "-" + i, "POST /stamp/x", Site2.trouble() ? BODY_BYTES : USUAL_BODY_BYTES);
                 } catch (IOException e) {
                     pause(100);
                 }
@@ -189,7 +189,7 @@
     }
 
     private static boolean ran(String id) {
-        for (Replica replica : sReplicas) {
+        for (Replica2 replica : sReplicas) {
             if (replica.ran.contains(id)) {
                 return true;
             }
@@ -199,7 +199,7 @@
 
     private static Socket connect(Kept kept) throws IOException {
         Socket socket = new Socket();
-        socket.connect(new InetSocketAddress(Site.HOST, kept.vm.callers), 1000);
+        socket.connect(new InetSocketAddress(Site2.HOST, kept.vm.callers), 1000);
         socket.setSoTimeout(TIMEOUT_MILLIS + 1_000);
         return socket;
     }
@@ -211,7 +211,7 @@
         boolean again = false;
         kept.site.record("%s is sent to %s: %s, %d bytes", id, kept.vm.name, line, size);
         try {
-            socket.getOutputStream().write(Site.ascii(line + " HTTP/1.1\r\nHost: " + Config.HOST_NAME
+            socket.getOutputStream().write(Site2.ascii(line + " HTTP/1.1\r\nHost: " + Config2.HOST_NAME
                     + "\r\nX-Request-Id: " + id + "\r\nX-Deadline-Ms: " + TIMEOUT_MILLIS + "\r\nContent-Length: "
                     + size + "\r\nAuthorization: Bearer key-of-mill\r\n\r\n"));
             byte[] part = new byte[64 * 1024];
@@ -219,10 +219,10 @@
                 socket.getOutputStream().write(part, 0, Math.min(part.length, size - sent));
             }
             InputStream in = socket.getInputStream();
-            String head = Site.Http.head(in);
-            again = !head.isEmpty() && Site.Http.body(in, head) != null
-                    && !Site.Http.field(head, "Connection").equals("close");
-            outcome = Integer.toString(Site.Http.status(head));
+            String head = Site2.Http.head(in);
+            again = !head.isEmpty() && Site2.Http.body(in, head) != null
+                    && !Site2.Http.field(head, "Connection").equals("close");
+            outcome = Integer.toString(Site2.Http.status(head));
         } catch (IOException e) {
             outcome = e.getClass().getSimpleName();
         }
--- a/review/stand2/Site.java
+++ b/review/Site2.java
@@ -22,7 +22,7 @@
 import java.util.concurrent.TimeUnit;
 
 /** Starts entry VMs with the command of the deploy file, and holds what all cases share. */
-final class Site implements AutoCloseable {
+final class Site2 implements AutoCloseable {
 
     /** The exit codes of a case. */
     static final int HELD = 0;
@@ -64,7 +64,7 @@
         }
     }
 
-    Site(String caseFolder) throws IOException {
+    Site2(String caseFolder) throws IOException {
         mFolder = Files.createTempDirectory("review-2-");
         mRecord = new PrintWriter(Files.newBufferedWriter(Path.of(caseFolder, "record.txt")));
         Runtime.getRuntime().addShutdownHook(mHook);
@@ -247,7 +247,7 @@
     /** Runs a case and ends this process with its exit code. */
     static void main(String folder, Case body) {
         int code = NOT_RUN;
-        try (Site site = new Site(folder)) {
+        try (Site2 site = new Site2(folder)) {
             try {
                 code = body.run(site) ? HELD : BROKEN;
                 site.record("result: %s", code == HELD ? "the rule held" : "the rule was broken");
@@ -264,7 +264,7 @@
 
     /** A case; it returns whether the rule held. */
     interface Case {
-        boolean run(Site site) throws Exception;
+        boolean run(Site2 site) throws Exception;
     }
 
     /** Reads and writes HTTP/1.1 byte by byte. */
--- a/review/stand2/SlowReader.java
+++ b/review/SlowReader.java
@@ -26,16 +26,16 @@
     private SlowReader() {}
 
     public static void main(String[] args) {
-        Site.main(args[0], SlowReader::run);
+        Site2.main(args[0], SlowReader::run);
     }
 
-    private static boolean run(Site site) throws Exception {
-        Store store = new Store();
-        Replica replica = new Replica(site, "i-1", ANSWER_BYTES, 20);
-        store.put("op/config", new Config().route("lookup", "/lookup/", "safe", TIMEOUT_MILLIS)
+    private static boolean run(Site2 site) throws Exception {
+        Store2 store = new Store2();
+        Replica2 replica = new Replica2(site, "i-1", ANSWER_BYTES, 20);
+        store.put("op/config", new Config2().route("lookup", "/lookup/", "safe", TIMEOUT_MILLIS)
                 .tenant("mill", "key-of-mill").json(1));
         store.put("servers/i-1", replica.entry("bale-ledger", "fl-a"));
-        Site.Vm vm = site.vm("front-fl-a-1");
+        Site2.Vm vm = site.vm("front-fl-a-1");
         site.start(vm, "fl-a", store.port, List.of(vm));
         site.awaitReady(vm, 20_000);
         Thread.sleep(3_500);
@@ -47,14 +47,14 @@
             Thread.sleep(100);
         }
         Thread.sleep(300);
-        if (Site.trouble()) {
-            sStopMillis = Site.millis();
+        if (Site2.trouble()) {
+            sStopMillis = Site2.millis();
             site.signal(vm, "TERM");
             new Thread(() -> {
                 try {
                     vm.process.waitFor();
                     site.record("%s has ended by itself %d ms after SIGTERM, grace_s allows 8000 ms", vm.name,
-                            Site.millis() - sStopMillis);
+                            Site2.millis() - sStopMillis);
                 } catch (InterruptedException e) {
                     Thread.currentThread().interrupt();
                 }
@@ -71,12 +71,12 @@
 
     /** A caller on a thin link: it reads without a pause, at a steady rate. */
     private static final class Caller extends Thread {
-        private final Site mSite;
-        private final Site.Vm mVm;
+        private final Site2 mSite;
+        private final Site2.Vm mVm;
         private final String mId;
         private volatile boolean mCut;
 
-        Caller(Site site, Site.Vm vm, String id) {
+        Caller(Site2 site, Site2.Vm vm, String id) {
             mSite = site;
             mVm = vm;
             mId = id;
@@ -86,23 +86,23 @@
         @Override
         public void run() {
             int read = 0;
-            long begin = Site.millis();
+            long begin = Site2.millis();
             try (Socket socket = new Socket()) {
                 socket.setReceiveBufferSize(RECEIVE_BUFFER_BYTES);
                 socket.setSoTimeout(DEADLINE_MILLIS);
-                socket.connect(new InetSocketAddress(Site.HOST, mVm.callers), 1000);
-                begin = Site.millis();
-                socket.getOutputStream().write(Site.ascii("GET /lookup/lots HTTP/1.1\r\nHost: " + Config.HOST_NAME
+                socket.connect(new InetSocketAddress(Site2.HOST, mVm.callers), 1000);
+                begin = Site2.millis();
+                socket.getOutputStream().write(Site2.ascii("GET /lookup/lots HTTP/1.1\r\nHost: " + Config2.HOST_NAME
                         + "\r\nX-Request-Id: " + mId + "\r\nX-Deadline-Ms: " + DEADLINE_MILLIS
                         + "\r\nAuthorization: Bearer key-of-mill\r\n\r\n"));
                 mSite.record("caller sends %s", mId);
                 InputStream in = socket.getInputStream();
-                String head = Site.Http.head(in);
-                int length = Integer.parseInt("0" + Site.Http.field(head, "Content-Length"));
+                String head = Site2.Http.head(in);
+                int length = Integer.parseInt("0" + Site2.Http.field(head, "Content-Length"));
                 mSite.record("caller of %s gets status %d, signature %s, length %d after %d ms", mId,
-                        Site.Http.status(head), Site.Http.field(head, "X-Response-Signature"), length,
-                        Site.millis() - begin);
-                byte[] expected = Replica.answer(mId, ANSWER_BYTES);
+                        Site2.Http.status(head), Site2.Http.field(head, "X-Response-Signature"), length,
+                        Site2.millis() - begin);
+                byte[] expected = Replica2.answer(mId, ANSWER_BYTES);
                 byte[] buffer = new byte[16 * 1024];
                 boolean same = true;
                 while (read < length) {
@@ -115,15 +115,15 @@
                     }
                     read += count;
                     long due = begin + read * 1000L / BYTES_PER_SECOND;
-                    Thread.sleep(Math.max(0, due - Site.millis()));
+                    Thread.sleep(Math.max(0, due - Site2.millis()));
                 }
-                mCut = Site.Http.status(head) == 200 && (read < length || !same);
+                mCut = Site2.Http.status(head) == 200 && (read < length || !same);
             } catch (Exception e) {
                 mSite.record("caller of %s: %s", mId, e);
                 mCut = read > 0;
             }
             mSite.record("caller of %s has read %d of %d bytes after %d ms%s", mId, read, ANSWER_BYTES,
-                    Site.millis() - begin, mCut ? ": CUT" : ": whole");
+                    Site2.millis() - begin, mCut ? ": CUT" : ": whole");
         }
     }
 }
--- a/review/stand2/Store.java
+++ b/review/Store2.java
@@ -13,7 +13,7 @@
 import java.util.TreeMap;
 
 /** Stands in for the platform's store as the users' pages describe it: pages, watches, 20 s of history. */
-final class Store {
+final class Store2 {
 
     private static final int PAGE_ITEMS = 500;
 
@@ -40,10 +40,10 @@
 
     final int port;
 
-    Store() throws IOException {
-        port = new Site.Listener((socket, in, out) -> {
+    Store2() throws IOException {
+        port = new Site2.Listener((socket, in, out) -> {
             while (true) {
-                String head = Site.Http.head(in);
+                String head = Site2.Http.head(in);
                 if (head.isEmpty()) {
                     return;
                 }
@@ -54,8 +54,8 @@
                     return;
                 }
                 int status = body == null ? 410 : 200;
-                byte[] bytes = body == null ? Site.ascii("{}") : body;
-                out.write(Site.ascii("HTTP/1.1 " + status + " x\r\nContent-Type: application/json\r\nContent-Length: "
+                byte[] bytes = body == null ? Site2.ascii("{}") : body;
+                out.write(Site2.ascii("HTTP/1.1 " + status + " x\r\nContent-Type: application/json\r\nContent-Length: "
                         + bytes.length + "\r\n\r\n"));
                 out.write(bytes);
                 out.flush();
@@ -79,7 +79,7 @@
         mItems.remove(key);
         mCreated.remove(key);
         mHistory.add(new Item(key, "{\"key\":\"" + key + "\",\"revision\":" + revision + ",\"deleted\":true}",
-                revision, Site.millis()));
+                revision, Site2.millis()));
         notifyAll();
         return revision;
     }
@@ -93,7 +93,7 @@
         long revision = ++mRevision;
         long created = mCreated.computeIfAbsent(key, any -> revision);
         Item item = new Item(key, "{\"key\":\"" + key + "\",\"value\":\"" + Base64.getEncoder().encodeToString(bytes)
-                + "\",\"revision\":" + revision + ",\"created\":" + created + ",\"lease\":0}", revision, Site.millis());
+                + "\",\"revision\":" + revision + ",\"created\":" + created + ",\"lease\":0}", revision, Site2.millis());
         mItems.put(key, item);
         mHistory.add(item);
         notifyAll();
@@ -111,18 +111,18 @@
             return page(prefix, query.getOrDefault("after", ""));
         }
         long after = Long.parseLong(query.get("after"));
-        long begin = Site.millis();
+        long begin = Site2.millis();
         long end = begin + Long.parseLong(query.getOrDefault("wait_ms", "0"));
         List<String> events = events(prefix, after);
-        while (events != null && events.isEmpty() && Site.millis() < end) {
-            if (mCutMillis > 0 && Site.millis() - begin >= mCutMillis) {
+        while (events != null && events.isEmpty() && Site2.millis() < end) {
+            if (mCutMillis > 0 && Site2.millis() - begin >= mCutMillis) {
                 throw new CutException();
             }
-            wait(Math.max(1, Math.min(50, end - Site.millis())));
+            wait(Math.max(1, Math.min(50, end - Site2.millis())));
             events = events(prefix, after);
         }
         return events == null ? null
-                : Site.ascii("{\"events\":[" + String.join(",", events) + "],\"store_revision\":" + mRevision + "}");
+                : Site2.ascii("{\"events\":[" + String.join(",", events) + "],\"store_revision\":" + mRevision + "}");
     }
 
     private byte[] page(String prefix, String after) {
@@ -140,12 +140,12 @@
             items.add(item.json());
             bytes += item.json().length();
         }
-        return Site.ascii("{\"items\":[" + String.join(",", items) + "],\"has_more\":" + more + ",\"store_revision\":"
+        return Site2.ascii("{\"items\":[" + String.join(",", items) + "],\"has_more\":" + more + ",\"store_revision\":"
                 + mRevision + "}");
     }
 
     private List<String> events(String prefix, long after) {
-        while (!mHistory.isEmpty() && Site.millis() - mHistory.peek().millis() > HISTORY_MILLIS) {
+        while (!mHistory.isEmpty() && Site2.millis() - mHistory.peek().millis() > HISTORY_MILLIS) {
             mForgotten = mHistory.remove().revision();
         }
         if (after < mForgotten) {
--- a/review/stand2/WatchCut.java
+++ b/review/WatchCut.java
@@ -36,22 +36,22 @@
     private WatchCut() {}
 
     public static void main(String[] args) {
-        Site.main(args[0], WatchCut::run);
+        Site2.main(args[0], WatchCut::run);
     }
 
-    private static boolean run(Site site) throws Exception {
-        Store store = new Store();
-        Replica stays = new Replica(site, "i-1", 800, WORK_MILLIS);
-        Replica leaves = new Replica(site, "i-2", 800, WORK_MILLIS);
-        store.put("op/config", new Config().route("stamp", "/stamp/", "unsafe", TIMEOUT_MILLIS)
+    private static boolean run(Site2 site) throws Exception {
+        Store2 store = new Store2();
+        Replica2 stays = new Replica2(site, "i-1", 800, WORK_MILLIS);
+        Replica2 leaves = new Replica2(site, "i-2", 800, WORK_MILLIS);
+        store.put("op/config", new Config2().route("stamp", "/stamp/", "unsafe", TIMEOUT_MILLIS)
                 .tenant("mill", "key-of-mill").json(1));
         store.put("servers/i-1", stays.entry("bale-ledger", "fl-a"));
         store.put("servers/i-2", leaves.entry("bale-ledger", "fl-a"));
-        Site.Vm vm = site.vm("front-fl-a-1");
+        Site2.Vm vm = site.vm("front-fl-a-1");
         site.start(vm, "fl-a", store.port, List.of(vm));
         site.awaitReady(vm, 20_000);
         Thread.sleep(4_000);
-        if (Site.trouble()) {
+        if (Site2.trouble()) {
             store.cutWatchesAfter(CUT_MILLIS);
             site.record("the store cuts each watch that has waited for %d ms", CUT_MILLIS);
         }
@@ -64,7 +64,7 @@
         Thread.sleep(4_000);
         int first = leaves.runs.get();
         store.delete("servers/i-2");
-        long removed = Site.millis();
+        long removed = Site2.millis();
         site.record("the entry of i-2 is removed and the removal is acknowledged");
         sleepUntil(removed + DRAIN_MILLIS);
         int before = leaves.runs.get();
@@ -83,23 +83,23 @@
     }
 
     private static void sleepUntil(long millis) throws InterruptedException {
-        Thread.sleep(Math.max(0, millis - Site.millis()));
+        Thread.sleep(Math.max(0, millis - Site2.millis()));
     }
 
-    private static void call(Site site, Site.Vm vm) {
+    private static void call(Site2 site, Site2.Vm vm) {
         while (!sEnded) {
             String id = "rq" + REQUESTS.incrementAndGet();
             try (Socket socket = new Socket()) {
-                socket.connect(new InetSocketAddress(Site.HOST, vm.callers), 1000);
+                socket.connect(new InetSocketAddress(Site2.HOST, vm.callers), 1000);
                 socket.setSoTimeout(3000);
                 site.record("%s is sent", id);
-                socket.getOutputStream().write(Site.ascii("POST /stamp/x HTTP/1.1\r\nHost: " + Config.HOST_NAME
+                socket.getOutputStream().write(Site2.ascii("POST /stamp/x HTTP/1.1\r\nHost: " + Config2.HOST_NAME
                         + "\r\nX-Request-Id: " + id + "\r\nX-Deadline-Ms: " + TIMEOUT_MILLIS
                         + "\r\nContent-Length: 0\r\nAuthorization: Bearer key-of-mill\r\n\r\n"));
                 InputStream in = socket.getInputStream();
-                String head = Site.Http.head(in);
-                Site.Http.body(in, head);
-                int status = Site.Http.status(head);
+                String head = Site2.Http.head(in);
+                Site2.Http.body(in, head);
+                int status = Site2.Http.status(head);
                 UNCERTAIN.addAndGet(status >= 500 && status != 503 ? 1 : 0);
                 site.record("%s is answered %d", id, status);
                 Thread.sleep(PAUSE_MILLIS);
