--- a/review/LargeBodies.java
+++ b/review/LargeBodies.java
@@ -23,6 +23,9 @@
 
     private static final int LARGE_CALLERS_WITHOUT_BURST = 1;
 
+    /** Keeps the bodies of one machine within its link of 1,000 Mbit/s. */
+    private static final long LARGE_PAUSE_MILLIS = 400;
+
     private static final int SMALL_CALLERS = 6;
 
     /** The memory of the smallest machine of the site, 280 MB. */
@@ -154,7 +157,7 @@
 
     private static void large(Kept kept, String name) {
         for (int i = 1; !sEnded; i++) {
-            pause(100);
+            pause(LARGE_PAUSE_MILLIS);
             if (kept.inTouch()) {
                 try (Socket socket = connect(kept)) {
                     call(kept, socket, name + "-" + i, "POST /stamp/x", Site2.trouble() ? BODY_BYTES : USUAL_BODY_BYTES);
