Accept fractions in the settings that the platform fills in

Callers saw: once bounds.grace_s was 8.5 and the entry VMs had been restarted, no process started (code 2) and no request was served.

Cause: durations took whole numbers only, the ranges of the settings were narrower than the platform's pages, and one unusable value refused the whole file, at the start and in a running process.

Ruled out: the parser of the template's numbers; TOML fractions were read.

Change: durations are decimal numbers with a unit; wider ranges; an optional value that cannot be used is replaced by the one in force (the default at a start), logged and counted by the gauge settings.refused, and the other keys take effect. A call to the store is limited to 30 s whatever the contact limit, since the store allows no longer wait.

--- a/router/src/main/java/org/magnoliaseam/cli/RouteCommand.java
+++ b/router/src/main/java/org/magnoliaseam/cli/RouteCommand.java
@@ -85,7 +85,10 @@
             return new StoreSettingsLoader()
                     .load(file)
                     .fold(
-                            settings -> mStoreLauncher.run(settings, file),
+                            loaded -> {
+                                report(loaded.refused(), console);
+                                return mStoreLauncher.run(loaded.settings(), file);
+                            },
                             faults -> report(faults, console));
         }
         return new LocalSettingsLoader()
--- a/router/src/main/java/org/magnoliaseam/rollout/ContactSchedule.java
+++ b/router/src/main/java/org/magnoliaseam/rollout/ContactSchedule.java
@@ -17,6 +17,9 @@
      */
     private static final double CALL_SHARE = 0.8;
 
+    /** The longest time that a call may take, in milliseconds. */
+    private static final long MAX_CALL_MILLIS = 30_000;
+
     /** The share of a call's time limit for which it may wait for changes. */
     private static final double WAIT_SHARE = 0.8;
 
@@ -86,7 +89,8 @@
      * @return the time limit in milliseconds
      */
     public long callLimitMillis() {
-        return TimeUnit.NANOSECONDS.toMillis((long) (CALL_SHARE * mLimitNanos));
+        long millis = TimeUnit.NANOSECONDS.toMillis((long) (CALL_SHARE * mLimitNanos));
+        return Math.min(millis, MAX_CALL_MILLIS);
     }
 
     /**
--- a/router/src/main/java/org/magnoliaseam/route/GatewayFactory.java
+++ b/router/src/main/java/org/magnoliaseam/route/GatewayFactory.java
@@ -181,15 +181,15 @@
     }
 
     /**
-     * Registers the gauges of the slots that homes of engines count, and of the connections of
-     * callers that ended without an answer.
+     * Registers the gauges of the settings file, of the slots that homes of engines count, and of
+     * the connections of callers that ended without an answer.
      *
      * @param metrics the registry for the gauges
      * @param permits the permits that this process holds and grants
      * @param notices the notices of the connections
      */
-    private static void gauges(
-            MetricRegistry metrics, EnginePermits permits, ConnectionNotices notices) {
+    private void gauges(MetricRegistry metrics, EnginePermits permits, ConnectionNotices notices) {
+        metrics.registerGauge("settings.refused", mReload::refused);
         metrics.registerGauge("gateway.slots.held", permits::heldSlots);
         metrics.registerGauge("gateway.slots.used", permits::usedSlots);
         metrics.registerGauge("gateway.slots.reserved", permits::reservedSlots);
--- a/router/src/main/java/org/magnoliaseam/route/SettingsReloader.java
+++ b/router/src/main/java/org/magnoliaseam/route/SettingsReloader.java
@@ -8,12 +8,14 @@
 import org.magnoliaseam.error.Result;
 import org.magnoliaseam.settings.Fault;
 import org.magnoliaseam.settings.StoreSettings;
+import org.magnoliaseam.settings.load.LoadedStoreSettings;
 import org.magnoliaseam.settings.load.SettingsFile;
 import org.magnoliaseam.settings.load.StoreSettingsLoader;
 
 /**
- * Reloads the settings file when its content has changed. If the new settings are invalid, the last
- * valid ones stay in force. Changed addresses take effect only at the next start.
+ * Reloads the settings file when its content has changed. If the file cannot be used, the settings
+ * in force stay; if only the values of optional keys cannot be used, these keep the value in force
+ * and the others take effect. Changed addresses take effect only at the next start.
  */
 final class SettingsReloader implements Supplier<StoreSettings> {
 
@@ -26,6 +28,9 @@
     /** The settings in force. */
     private volatile StoreSettings mSettings;
 
+    /** The number of faults that the last check of a changed file found. */
+    private volatile int mRefused;
+
     /** The content of the file at the last check, or why it had none; null before the first. */
     private Result<String, Fault> mContent;
 
@@ -45,6 +50,15 @@
         return mSettings;
     }
 
+    /**
+     * Returns how many faults the settings file has.
+     *
+     * @return the number of faults; 0 if all of the file is in force
+     */
+    int refused() {
+        return mRefused;
+    }
+
     /** Reloads the file if its content has changed since the last check. */
     synchronized void check() {
         try {
@@ -53,7 +67,7 @@
                 return;
             }
             mContent = content;
-            new StoreSettingsLoader().load(mFile).fold(this::apply, SettingsReloader::logFaults);
+            new StoreSettingsLoader(mSettings).load(mFile).fold(this::apply, this::refuse);
         } catch (RuntimeException e) {
             LOG.error("settings: the check failed", e);
         }
@@ -62,24 +76,25 @@
     /**
      * Puts settings into force.
      *
-     * @param settings the settings
+     * @param loaded the settings
      * @return null
      */
-    private Void apply(StoreSettings settings) {
-        if (!settings.equals(mSettings)) {
-            mSettings = settings;
+    private Void apply(LoadedStoreSettings loaded) {
+        if (!loaded.settings().equals(mSettings)) {
+            mSettings = loaded.settings();
             LOG.info("settings: read again, changed=true");
         }
-        return null;
+        return refuse(loaded.refused());
     }
 
     /**
-     * Logs why settings are invalid.
+     * Counts and logs the faults of the file.
      *
-     * @param faults the faults of the settings
+     * @param faults the faults
      * @return null
      */
-    private static Void logFaults(List<Fault> faults) {
+    private Void refuse(List<Fault> faults) {
+        mRefused = faults.size();
         faults.forEach(fault -> LOG.error("settings: refused, {}", fault.text()));
         return null;
     }
--- a/router/src/main/java/org/magnoliaseam/settings/schema/DurationType.java
+++ b/router/src/main/java/org/magnoliaseam/settings/schema/DurationType.java
@@ -1,5 +1,7 @@
 package org.magnoliaseam.settings.schema;
 
+import java.math.BigDecimal;
+import java.math.RoundingMode;
 import java.time.Duration;
 import java.time.temporal.ChronoUnit;
 import java.util.List;
@@ -10,18 +12,25 @@
 import org.magnoliaseam.error.Result;
 import org.magnoliaseam.settings.toml.TomlNode;
 
-/** Reads a duration such as {@code "250 ms"}. */
+/** Reads a duration such as {@code "250 ms"} or {@code "8.5 s"}. */
 public final class DurationType implements ValueType<Duration> {
 
     /** The reason for a value without a unit or with another unit. */
     public static final String WRONG_UNIT =
-            "must be a string with a whole number and a unit (ms, s or min), such as \"250 ms\"";
+            "must be a string with a number and a unit (ms, s or min), such as \"250 ms\"";
 
     /** The reason for a value out of range. */
     public static final String OUT_OF_RANGE = "must be between %s and %s";
 
-    /** The accepted form: a number and a unit. */
-    private static final Pattern PATTERN = Pattern.compile("(\\d{1,9}) ?(ms|s|min)");
+    /** The accepted form: a number and a unit. The bounded lengths limit the work of parsing. */
+    private static final Pattern PATTERN =
+            Pattern.compile("(\\d{1,9}(?:\\.\\d{1,20})?(?:[eE][+-]?\\d{1,2})?) ?(ms|s|min)");
+
+    /** The longest duration that is parsed, in seconds. */
+    private static final BigDecimal MAX_SECONDS = BigDecimal.valueOf(Long.MAX_VALUE);
+
+    /** Nanoseconds per second. */
+    private static final long NANOS_PER_SECOND = 1_000_000_000;
 
     /** The units by their abbreviation. */
     private static final Map<String, ChronoUnit> UNITS =
@@ -61,7 +70,7 @@
     }
 
     /**
-     * Parses a duration in the form that settings files use.
+     * Parses a duration in the form that settings files use. Parts of a nanosecond are rounded.
      *
      * @param text a number and a unit
      * @return the duration, or empty if the text is malformed
@@ -71,12 +80,19 @@
         if (!matcher.matches()) {
             return Optional.empty();
         }
-        long number = Long.parseLong(matcher.group(1));
-        return Optional.of(Duration.of(number, UNITS.get(matcher.group(2))));
+        Duration unit = UNITS.get(matcher.group(2)).getDuration();
+        BigDecimal nanos =
+                new BigDecimal(matcher.group(1))
+                        .multiply(BigDecimal.valueOf(unit.toNanos()))
+                        .setScale(0, RoundingMode.HALF_UP);
+        BigDecimal[] parts = nanos.divideAndRemainder(BigDecimal.valueOf(NANOS_PER_SECOND));
+        return parts[0].compareTo(MAX_SECONDS) > 0
+                ? Optional.empty()
+                : Optional.of(Duration.ofSeconds(parts[0].longValue(), parts[1].longValue()));
     }
 
     /**
-     * Formats a duration in the form that settings files use.
+     * Formats a duration in the form that settings files use, in whole milliseconds.
      *
      * @param value the duration
      * @return a number and a unit
--- a/router/src/main/java/org/magnoliaseam/settings/schema/SectionReader.java
+++ b/router/src/main/java/org/magnoliaseam/settings/schema/SectionReader.java
@@ -45,6 +45,18 @@
      * @return the value, or the fallback of the key if it is absent or malformed
      */
     public <T> T read(KeySpec<T> key) {
+        return read(key, key.fallback());
+    }
+
+    /**
+     * Reads a value.
+     *
+     * @param key the key to read
+     * @param substitute the result for a malformed value
+     * @param <T> the type of the value
+     * @return the value, the fallback of the key if it is absent, or the substitute
+     */
+    public <T> T read(KeySpec<T> key, T substitute) {
         TomlNode node = mSection.entries().get(key.name());
         if (node == null) {
             if (key.required()) {
@@ -61,7 +73,7 @@
         String path = KeyPath.of(mPath, key.name());
         List<ValueFault> faults = ((Result.Err<T, List<ValueFault>>) result).error();
         faults.forEach(f -> mFaults.accept(f.location().fault(path, f.reason())));
-        return key.fallback();
+        return substitute;
     }
 
     /**
--- a/router/src/main/java/org/magnoliaseam/settings/schema/StoreKeys.java
+++ b/router/src/main/java/org/magnoliaseam/settings/schema/StoreKeys.java
@@ -34,7 +34,7 @@
     public static final KeySpec<Duration> STORE_CONTACT_LIMIT =
             KeySpec.optional(
                     "store-contact-limit",
-                    ValueTypes.duration("2 s", "30 s"),
+                    ValueTypes.duration("200 ms", "10 min"),
                     Scope.LOCAL,
                     Duration.ofSeconds(3));
 
@@ -45,17 +45,17 @@
 
     /** The allowed retries of all entry VMs as a fraction of first attempts. */
     public static final KeySpec<Double> RETRY_RATIO =
-            KeySpec.optional("retry-ratio", new DecimalType(0, 1), Scope.LOCAL, 0.1);
+            KeySpec.optional("retry-ratio", new DecimalTextType(0, 100), Scope.LOCAL, 0.1);
 
     /** The retries that all entry VMs may make in one window in addition to that fraction. */
     public static final KeySpec<Double> RETRY_SLACK =
-            KeySpec.optional("retry-slack", new DecimalType(0, 100_000), Scope.LOCAL, 20.0);
+            KeySpec.optional("retry-slack", new DecimalTextType(0, 1_000_000), Scope.LOCAL, 20.0);
 
     /** The time between the stop signal and the forced end of the process. */
     public static final KeySpec<Duration> STOP_GRACE =
             KeySpec.optional(
                     "stop-grace",
-                    ValueTypes.duration("1 s", "5 min"),
+                    ValueTypes.duration("1 ms", "60 min"),
                     Scope.LOCAL,
                     Duration.ofSeconds(8));
 
@@ -68,7 +68,7 @@
     public static final KeySpec<Duration> SERVER_HEARTBEAT =
             KeySpec.optional(
                     "server-heartbeat",
-                    ValueTypes.duration("10 ms", "10 min"),
+                    ValueTypes.duration("1 ms", "10 min"),
                     Scope.LOCAL,
                     Duration.ofMillis(1200));
 
