Tell cut watches from outages of the store

Callers saw: while the store cut each waiting watch after 1 s, a server whose entry had been removed got requests until it exited, 3 s beyond drain_ms, and three requests that may run once got 502 at its exit.

Cause: StoreWatch took each failed call for lost contact and the next answer for the return of the store, after which removals are held back for 2.2 s. The next cut began the time anew.

Evidence: the log of the case has contact lost and regained a few ms apart at each cut, and the removal only after the last one. Ruled out: the removal itself was delivered by the answer after the cut.

Change: PublisherContact measures the time without an answer, from the cut of a waiting call or from the start of a call that failed otherwise. Only a time of a server-heartbeat or more counts as an outage in which entries may have expired; they expire after three. A single cut loses no contact, so reports of peers are heard on. A 410 and a later era count as answers. New gauges store.watches_cut and store.outages.

--- a/router/src/main/java/org/magnoliaseam/platform/PlatformFeed.java
+++ b/router/src/main/java/org/magnoliaseam/platform/PlatformFeed.java
@@ -1,5 +1,6 @@
 package org.magnoliaseam.platform;
 
+import com.codahale.metrics.MetricRegistry;
 import java.time.Duration;
 import java.util.HashSet;
 import java.util.List;
@@ -22,6 +23,7 @@
 import org.magnoliaseam.model.FailureDomain;
 import org.magnoliaseam.rollout.ContactSchedule;
 import org.magnoliaseam.rollout.OverdueChange;
+import org.magnoliaseam.rollout.PublisherContact;
 import org.magnoliaseam.settings.StoreSettings;
 import org.magnoliaseam.time.MonotonicClock;
 
@@ -89,7 +91,10 @@
         ContactSchedule schedule =
                 new ContactSchedule(settings.storeContactLimit(), new Random(), clock.nanos());
         OverdueChange overdue = new OverdueChange(settings.storeContactLimit(), clock.nanos());
-        mWatch = new StoreWatch(store, ALL_KEYS, schedule, overdue, listener(schedule), clock);
+        PublisherContact contact = new PublisherContact(settings.serverHeartbeat(), clock.nanos());
+        mWatch =
+                new StoreWatch(
+                        store, ALL_KEYS, schedule, overdue, contact, listener(schedule), clock);
         published.observe(mWatch::heard);
     }
 
@@ -105,6 +110,16 @@
         mWatch.stop();
     }
 
+    /**
+     * Registers the counts of the contact with the store.
+     *
+     * @param metrics the registry for the gauges
+     */
+    public void register(MetricRegistry metrics) {
+        metrics.registerGauge("store.watches_cut", mWatch::cuts);
+        metrics.registerGauge("store.outages", mWatch::outages);
+    }
+
     /**
      * Returns whether the configuration and the backend servers have been read.
      *
@@ -145,7 +160,7 @@
             }
 
             @Override
-            public void reconnected() {
+            public void returned() {
                 mServers.publisherReturned();
             }
 
--- a/router/src/main/java/org/magnoliaseam/platform/StoreClient.java
+++ b/router/src/main/java/org/magnoliaseam/platform/StoreClient.java
@@ -151,7 +151,7 @@
      */
     private static Answer parse(ContentResponse response, Throwable failure) {
         if (failure != null) {
-            throw new StoreException(failure.getClass().getSimpleName(), 0);
+            throw new StoreException(failure);
         }
         if (response.getStatus() != HttpStatus.OK_200) {
             throw new StoreException("status " + response.getStatus(), response.getStatus());
--- a/router/src/main/java/org/magnoliaseam/platform/StoreException.java
+++ b/router/src/main/java/org/magnoliaseam/platform/StoreException.java
@@ -1,5 +1,9 @@
 package org.magnoliaseam.platform;
 
+import java.io.IOException;
+import java.net.ConnectException;
+import java.net.SocketTimeoutException;
+
 /** Thrown if a call to the metadata store fails or returns an unusable response. */
 final class StoreException extends RuntimeException {
 
@@ -9,6 +13,9 @@
     /** The HTTP status; 0 if there was no response. */
     private final int mStatus;
 
+    /** Whether the store ended the connection of the call. */
+    private final boolean mConnectionEnded;
+
     /**
      * Creates an exception.
      *
@@ -18,6 +25,30 @@
     StoreException(String message, int status) {
         super(message);
         mStatus = status;
+        mConnectionEnded = false;
+    }
+
+    /**
+     * Creates an exception for a call without a response.
+     *
+     * @param failure why there was none
+     */
+    StoreException(Throwable failure) {
+        super(failure.getClass().getSimpleName());
+        mStatus = 0;
+        mConnectionEnded =
+                failure instanceof IOException
+                        && !(failure instanceof ConnectException)
+                        && !(failure instanceof SocketTimeoutException);
+    }
+
+    /**
+     * Tells whether the store ended the connection of the call.
+     *
+     * @return false if the call was not connected, timed out or was answered
+     */
+    boolean connectionEnded() {
+        return mConnectionEnded;
     }
 
     /**
--- a/router/src/main/java/org/magnoliaseam/platform/StoreListener.java
+++ b/router/src/main/java/org/magnoliaseam/platform/StoreListener.java
@@ -27,8 +27,8 @@
      */
     void changed(List<StoreItem> changes);
 
-    /** Called when a call to the store succeeds after failed ones. */
-    void reconnected();
+    /** Called when the store answers after an outage in which entries may have expired. */
+    void returned();
 
     /** Called when all changes up to now have been delivered. */
     void upToDate();
--- a/router/src/main/java/org/magnoliaseam/platform/StoreWatch.java
+++ b/router/src/main/java/org/magnoliaseam/platform/StoreWatch.java
@@ -7,10 +7,12 @@
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.magnoliaseam.rollout.ContactSchedule;
 import org.magnoliaseam.rollout.OverdueChange;
+import org.magnoliaseam.rollout.PublisherContact;
 import org.magnoliaseam.rollout.Revision;
 import org.magnoliaseam.time.MonotonicClock;
 
@@ -60,11 +62,14 @@
     /** The newest revision of any applied answer, which later ones must not fall behind. */
     private Revision mNewest = Revision.NONE;
 
-    /** The number of consecutive failed calls. */
-    private int mFailures;
+    /** Tells outages from calls that the store cut. */
+    private final PublisherContact mContact;
 
-    /** The local monotonic time of the last answer. */
-    private long mContactNanos;
+    /** The number of waiting calls that the store cut. */
+    private final AtomicLong mCuts = new AtomicLong();
+
+    /** The number of outages. */
+    private final AtomicLong mOutages = new AtomicLong();
 
     /**
      * Identifies a call.
@@ -86,6 +91,7 @@
      * @param prefix the prefix of the keys
      * @param schedule decides when to call
      * @param overdue decides when a change that a peer has is overdue
+     * @param contact tells outages from calls that the store cut
      * @param listener receives the items
      * @param clock the clock
      */
@@ -94,6 +100,7 @@
             String prefix,
             ContactSchedule schedule,
             OverdueChange overdue,
+            PublisherContact contact,
             StoreListener listener,
             MonotonicClock clock) {
         mClient = client;
@@ -102,7 +109,25 @@
         mOverdue = overdue;
         mListener = listener;
         mClock = clock;
-        mContactNanos = clock.nanos();
+        mContact = contact;
+    }
+
+    /**
+     * Returns how many waiting calls the store has cut. Called on any thread.
+     *
+     * @return the number since the start
+     */
+    long cuts() {
+        return mCuts.get();
+    }
+
+    /**
+     * Returns how many outages the store has had. Called on any thread.
+     *
+     * @return the number since the start
+     */
+    long outages() {
+        return mOutages.get();
     }
 
     /** Ends the watch. */
@@ -120,7 +145,7 @@
     void heard(Revision revision) {
         mEvents.add(
                 () -> {
-                    if (mFailures == 0) {
+                    if (!mContact.isLost()) {
                         mOverdue.heard(revision, mRevision, mClock.nanos());
                     }
                 });
@@ -213,10 +238,12 @@
             failed(call, new StoreException("older state, revision " + page.revision(), 0));
         } else if (failure == null && !call.full() && page.revision().isRestoredSince(mNewest)) {
             // These changes continue a state that was never read.
+            recordContact(call);
             readAll("the store came back from an older copy");
         } else if (failure == null) {
             answered(call, page);
         } else if (cause(failure) instanceof StoreException store && store.status() == GONE) {
+            recordContact(call);
             readAll("history no longer available");
         } else {
             failed(call, cause(failure));
@@ -283,17 +310,22 @@
      */
     private void recordContact(Call call) {
         long now = mClock.nanos();
-        if (mFailures > 0) {
+        long awayNanos = mContact.awayNanos(now);
+        PublisherContact.Regained regained = mContact.answered(now);
+        if (regained.lost()) {
             LOG.info(
-                    "store: contact regained, failures={} call_ms={} away_ms={} revision={}",
-                    mFailures,
+                    "store: contact regained, failures={} call_ms={} away_ms={} outage={}"
+                            + " revision={}",
+                    regained.failures(),
                     TimeUnit.NANOSECONDS.toMillis(now - call.startNanos()),
-                    TimeUnit.NANOSECONDS.toMillis(now - mContactNanos),
+                    TimeUnit.NANOSECONDS.toMillis(awayNanos),
+                    regained.outage(),
                     mRevision);
-            mFailures = 0;
-            mListener.reconnected();
         }
-        mContactNanos = now;
+        if (regained.outage()) {
+            mOutages.incrementAndGet();
+            mListener.returned();
+        }
     }
 
     /**
@@ -305,15 +337,33 @@
     private void failed(Call call, Throwable cause) {
         long now = mClock.nanos();
         mSchedule.failed(call.startNanos(), now);
-        if (mFailures == 0) {
+        PublisherContact.Failure failure = PublisherContact.Failure.NO_ANSWER;
+        if (isCut(call, cause)) {
+            failure = PublisherContact.Failure.CUT;
+            mCuts.incrementAndGet();
+        }
+        if (mContact.failed(failure, call.startNanos(), now)) {
             LOG.warn(
                     "store: contact lost, call_ms={} away_ms={} revision={} cause={}",
                     TimeUnit.NANOSECONDS.toMillis(now - call.startNanos()),
-                    TimeUnit.NANOSECONDS.toMillis(now - mContactNanos),
+                    TimeUnit.NANOSECONDS.toMillis(mContact.awayNanos(now)),
                     mRevision,
                     cause.getMessage());
         }
-        mFailures++;
+    }
+
+    /**
+     * Tells whether the store ended a call that waited for changes.
+     *
+     * @param call the failed call
+     * @param cause why it failed
+     * @return false for a call that does not wait, and one that was not connected or timed out
+     */
+    private static boolean isCut(Call call, Throwable cause) {
+        return !call.full()
+                && call.waitMillis() > 0
+                && cause instanceof StoreException store
+                && store.connectionEnded();
     }
 
     /**
--- a/router/src/main/java/org/magnoliaseam/route/GatewayFactory.java
+++ b/router/src/main/java/org/magnoliaseam/route/GatewayFactory.java
@@ -123,14 +123,8 @@
         Gateway gateway = new Gateway(parts);
         gauges(metrics, currentCatalog, published, pool, gateway);
         gauges(metrics, parts.permits(), mConnections.notices());
-        PlatformFeed feed =
-                new PlatformFeed(
-                        mSettings,
-                        client,
-                        currentCatalog,
-                        pool.publishedServers(),
-                        published,
-                        mClock);
+        PlatformFeed feed = feed(client, currentCatalog, pool, published);
+        feed.register(metrics);
         CallerProtocol callers = new CallerProtocol(currentCatalog, gateway, mShutdown, mClock);
         ReadinessHandler readiness =
                 new ReadinessHandler(() -> feed.complete() && !mShutdown.leaving());
@@ -156,6 +150,24 @@
                 mClock);
     }
 
+    /**
+     * Creates the reader of the metadata store.
+     *
+     * @param client the client for the store
+     * @param currentCatalog receives the configuration
+     * @param pool receives the backend servers
+     * @param published receives the revisions of changes
+     * @return the reader, not yet started
+     */
+    private PlatformFeed feed(
+            HttpClient client,
+            CurrentCatalog currentCatalog,
+            ServerPool pool,
+            PublishedRevision published) {
+        return new PlatformFeed(
+                mSettings, client, currentCatalog, pool.publishedServers(), published, mClock);
+    }
+
     /**
      * Returns the limits for retries.
      *
--- a/router/src/test/java/org/magnoliaseam/platform/FailedDeliveryTest.java
+++ b/router/src/test/java/org/magnoliaseam/platform/FailedDeliveryTest.java
@@ -12,6 +12,7 @@
 import org.junit.jupiter.api.Test;
 import org.magnoliaseam.rollout.ContactSchedule;
 import org.magnoliaseam.rollout.OverdueChange;
+import org.magnoliaseam.rollout.PublisherContact;
 
 /** Tests that items which cannot be delivered do not end the watch of the store. */
 class FailedDeliveryTest {
@@ -41,7 +42,7 @@
                     public void changed(List<StoreItem> changes) {}
 
                     @Override
-                    public void reconnected() {}
+                    public void returned() {}
 
                     @Override
                     public void upToDate() {}
@@ -52,6 +53,7 @@
                         "",
                         new ContactSchedule(CONTACT_LIMIT, new Random(1), System.nanoTime()),
                         new OverdueChange(CONTACT_LIMIT, System.nanoTime()),
+                        new PublisherContact(CONTACT_LIMIT, System.nanoTime()),
                         listener,
                         System::nanoTime);
         try {
--- a/router/src/test/java/org/magnoliaseam/platform/PlatformFeedTest.java
+++ b/router/src/test/java/org/magnoliaseam/platform/PlatformFeedTest.java
@@ -75,6 +75,9 @@
     /** Whether calls that are open get no response while later ones do. */
     private volatile boolean mStalled;
 
+    /** The time after which the store cuts a watch that waits, in milliseconds; 0 for never. */
+    private volatile long mCutMillis;
+
     private volatile int mVersion = 1;
 
     @BeforeEach
@@ -157,10 +160,15 @@
         long wait = Long.parseLong(query.replaceAll(".*wait_ms=(\\d+).*", "$1"));
         boolean silent = mSilent;
         boolean stalled = mStalled;
+        long cut = mCutMillis;
         try {
             for (long waited = 0; silent || waited < wait && after >= 10 + mVersion; waited += 5) {
                 TimeUnit.MILLISECONDS.sleep(5);
                 silent |= mSilent || mStalled != stalled;
+                if (cut > 0 && waited >= cut) {
+                    exchange.close();
+                    return;
+                }
             }
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
@@ -280,6 +288,54 @@
         }
     }
 
+    /** Tests removals of backend servers beside cut watches and outages. */
+    @Nested
+    class Removal {
+        private static final String REMOVED =
+                "{\"key\":\"servers/i-1\",\"revision\":12,\"deleted\":true},";
+
+        /** The time in which a removal has to take effect, in milliseconds. */
+        private static final long DRAIN_MILLIS = 2000;
+
+        private void remove() {
+            mMoreItems = REMOVED;
+            mVersion = 2;
+        }
+
+        /** Guards against removals that are held back because the store cuts watches. */
+        @ParameterizedTest
+        @ValueSource(longs = {10, 200, 1000})
+        void cutWatchesDoNotHoldBackARemoval(long cutMillis) throws InterruptedException {
+            mCutMillis = cutMillis;
+            int before = mWatches.get();
+            await().atMost(Duration.ofSeconds(10)).until(() -> mWatches.get() >= before + 4);
+            remove();
+            await().atMost(Duration.ofMillis(DRAIN_MILLIS)).until(() -> mPool.size() == 0);
+        }
+
+        /** Guards against a removal that is held back because of one cut just before it. */
+        @Test
+        void singleCutDoesNotHoldBackARemoval() {
+            mCutMillis = 100;
+            int before = mWatches.get();
+            await().atMost(Duration.ofSeconds(10)).until(() -> mWatches.get() > before + 1);
+            mCutMillis = 0;
+            remove();
+            await().atMost(Duration.ofMillis(DRAIN_MILLIS)).until(() -> mPool.size() == 0);
+        }
+
+        @Test
+        void entryThatExpiredDuringAnOutageIsKeptForAWhile() {
+            int before = mWatches.get();
+            mSilent = true;
+            await().atMost(Duration.ofSeconds(10)).until(() -> mWatches.get() > before + 2);
+            remove();
+            mSilent = false;
+            await().atMost(CONTACT_LIMIT).until(() -> version() == 2);
+            assertThat(mPool.size()).isEqualTo(1);
+        }
+    }
+
     /** Tests reports of entry VMs that have a newer state. */
     @Nested
     class Peers {
