Fail answers of the chat path whose connection was reset

Callers saw (by test, not in a run of the whole program): on the path of a site with its own configuration files, a part of an answer without a length as a whole one, if the backend server reset the connection.

Cause: Jetty reports a reset as a regular end of input. BackendEndPoint records the reset, but only ServerExchange asked for it; BackendExchange took the part for the whole.

Change: ResponseEnd has the check once, and both exchanges use it.

Measured: JettyBackendClientTest with the old exchange: 1 of 4 fails (the part counts as ended); with the fix all pass, CutAnswerTest and ServerProtocolTest too.

--- a/router/src/main/java/org/magnoliaseam/backend/BackendExchange.java
+++ b/router/src/main/java/org/magnoliaseam/backend/BackendExchange.java
@@ -30,6 +30,9 @@
     /** Reads the body and classifies failures. */
     private final ResponseBodyReader mBodyReader;
 
+    /** Tells whether the response ended with its connection. */
+    private final ResponseEnd mEnd = new ResponseEnd();
+
     /** Whether a byte of the request may have been sent. */
     private volatile boolean mSending;
 
@@ -73,6 +76,7 @@
      * @param response the response
      */
     void head(Response response) {
+        mEnd.head(response);
         String echoed = response.getHeaders().get(JettyBackendClient.REQUEST_ID_HEADER);
         if (echoed != null && !echoed.equals(mId.value())) {
             mMismatched = true;
@@ -115,6 +119,8 @@
                     BackendFailure.REFUSED, "The backend server refused before the start.");
         } else if (mMismatched) {
             mListener.failed(BackendFailure.MISMATCHED, "The answer names another request.");
+        } else if (result.isSucceeded() && mEnd.wasReset()) {
+            mListener.failed(BackendFailure.CONNECTION_LOST, "The connection was reset.");
         } else if (result.isSucceeded()) {
             mListener.ended();
         } else {
--- a/router/src/main/java/org/magnoliaseam/platform/ServerExchange.java
+++ b/router/src/main/java/org/magnoliaseam/platform/ServerExchange.java
@@ -3,7 +3,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
-import org.eclipse.jetty.client.Connection;
 import org.eclipse.jetty.client.Request;
 import org.eclipse.jetty.client.Response;
 import org.eclipse.jetty.client.Result;
@@ -11,12 +10,11 @@
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.http.HttpStatus;
-import org.eclipse.jetty.io.AbstractConnection;
 import org.eclipse.jetty.io.Content;
-import org.magnoliaseam.backend.BackendEndPoint;
 import org.magnoliaseam.backend.BackendFailure;
 import org.magnoliaseam.backend.CallCancelledException;
 import org.magnoliaseam.backend.ResponseBodyReader;
+import org.magnoliaseam.backend.ResponseEnd;
 import org.magnoliaseam.exchange.AnswerHead;
 import org.magnoliaseam.exchange.Header;
 import org.magnoliaseam.gateway.AttemptListener;
@@ -62,8 +60,8 @@
     /** Why the response cannot be used; null while it can. */
     private volatile BackendFailure mFailure;
 
-    /** The connection of the response; null before the header fields arrive. */
-    private volatile Connection mConnection;
+    /** Tells whether the response ended with its connection. */
+    private final ResponseEnd mEnd = new ResponseEnd();
 
     /** Whether the backend server asked for no requests for a time, or is full for a short one. */
     private volatile boolean mPushedBack;
@@ -104,7 +102,7 @@
      * @param response the response
      */
     void head(Response response) {
-        mConnection = response.getRequest().getConnection();
+        mEnd.head(response);
         HttpFields fields = response.getHeaders();
         String id = fields.get(WireNames.REQUEST_ID);
         if (!mId.value().equals(id)) {
@@ -159,7 +157,7 @@
             mListener.failed(BackendFailure.HELD_BACK, "The facts changed before the send.");
         } else if (mFailure != null) {
             mListener.failed(mFailure, mDetail);
-        } else if (result.isSucceeded() && reset()) {
+        } else if (result.isSucceeded() && mEnd.wasReset()) {
             mListener.failed(BackendFailure.CONNECTION_LOST, "The connection was reset.");
         } else if (result.isSucceeded()) {
             mListener.ended();
@@ -168,18 +166,6 @@
         }
     }
 
-    /**
-     * Returns whether the connection was reset. A response that is delimited by the end of its
-     * connection is then incomplete.
-     *
-     * @return true after a reset
-     */
-    private boolean reset() {
-        return mConnection instanceof AbstractConnection connection
-                && connection.getEndPoint() instanceof BackendEndPoint endPoint
-                && endPoint.wasReset();
-    }
-
     /**
      * Records that the backend server refused the request before it started it. The connection is
      * closed if the request may be sent there again, since a faulty server may write the refusal
--- a/router/src/test/java/org/magnoliaseam/backend/JettyBackendClientTest.java
+++ b/router/src/test/java/org/magnoliaseam/backend/JettyBackendClientTest.java
@@ -19,6 +19,8 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.magnoliaseam.FleetFixtures;
 import org.magnoliaseam.exchange.AnswerHead;
 import org.magnoliaseam.model.BackendKind;
@@ -33,7 +35,8 @@
     private static final int ANSWER_DELAY_MILLIS = 300;
     private static final int ACCEPT_MILLIS = 3000;
 
-    private final HttpClient mClient = new HttpClient();
+    private final HttpClient mClient =
+            new HttpClient(new BackendTransport(new BackendConnector(), -1));
     private ServerSocket mServer;
 
     @BeforeEach
@@ -49,8 +52,7 @@
         mServer.close();
     }
 
-    /** Calls the server and returns its request line once its answer has ended. */
-    private String call(String path) throws Exception {
+    private Listener start(String path) {
         URI address = URI.create("http://127.0.0.1:" + mServer.getLocalPort());
         BackendServer server =
                 new BackendServer(
@@ -78,6 +80,12 @@
                         0);
         Listener listener = new Listener();
         new JettyBackendClient(mClient, mClient).start(call, listener);
+        return listener;
+    }
+
+    /** Calls the server and returns its request line once its answer has ended. */
+    private String call(String path) throws Exception {
+        Listener listener = start(path);
         try (Socket socket = mServer.accept()) {
             BufferedReader reader =
                     new BufferedReader(new InputStreamReader(socket.getInputStream()));
@@ -100,6 +108,21 @@
         assertThat(call("//other.example/a")).isEqualTo("GET //other.example/a HTTP/1.1");
     }
 
+    /** Guards against a part of an answer that passes for the whole one after a reset. */
+    @ParameterizedTest
+    @CsvSource({"false,ended", "true,CONNECTION_LOST"})
+    void answerWithoutALengthIsCompleteUnlessItIsReset(boolean reset, String end) throws Exception {
+        Listener listener = start("/a");
+        try (Socket socket = mServer.accept()) {
+            socket.getInputStream().read(new byte[4096]);
+            String answer = "HTTP/1.1 200 OK\r\n\r\nhalf a bo";
+            socket.getOutputStream().write(answer.getBytes(StandardCharsets.US_ASCII));
+            TimeUnit.MILLISECONDS.sleep(ANSWER_DELAY_MILLIS);
+            socket.setSoLinger(reset, 0);
+        }
+        assertThat(listener.mEnd.get(5, TimeUnit.SECONDS)).isEqualTo(end);
+    }
+
     /** Records the end of an answer. */
     private static final class Listener implements BackendListener {
 
