Confirm the end of answers without a length to long requests

Cause: the end of input ended the answer whatever became of the request. A reset after the end of input shows in no read, and in no write if the kernel has taken the whole upload.

Ruled out: a reset without an end of output before it; each such try is CONNECTION_LOST before and after the change.

A selector shows the reset as an error of the channel. A server that ends its output and reads on has sent a whole answer.

--- a/router/src/main/java/org/magnoliaseam/backend/BackendEndPoint.java
+++ b/router/src/main/java/org/magnoliaseam/backend/BackendEndPoint.java
@@ -2,8 +2,12 @@
 
 import java.io.IOException;
 import java.nio.ByteBuffer;
+import java.nio.channels.CancelledKeyException;
 import java.nio.channels.SelectionKey;
+import java.nio.channels.Selector;
 import java.nio.channels.SocketChannel;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import org.eclipse.jetty.io.ManagedSelector;
 import org.eclipse.jetty.io.SocketChannelEndPoint;
 import org.eclipse.jetty.util.BufferUtil;
@@ -13,7 +17,9 @@
  * Reads from a connection to a backend server. It records whether the connection was reset: Jetty
  * reports a reset as a regular end, which would make a truncated response that is delimited by the
  * end of its connection look complete. It interrupts a sequence of bytes without a pause, and ends
- * a connection on which a backend server sends bytes that belong to no response.
+ * a connection on which a backend server sends bytes that belong to no response. It can confirm an
+ * end of input before it reports it, since a reset may follow and shows that the backend server did
+ * not read the whole request.
  *
  * <p>Reads are made by one thread at a time; the state of use may be set by any thread.
  */
@@ -25,9 +31,27 @@
      */
     private static final int MAX_SUCCESSIVE_READS = 8;
 
-    /** Whether reading from the connection failed. */
+    /** The time between two checks whether a reset followed the end of input, in milliseconds. */
+    private static final long CHECK_MILLIS = 10;
+
+    /** The time after which no reset is expected to follow, in nanoseconds. */
+    private static final long CONFIRM_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
+
+    /** Whether the connection was reset. */
     private volatile boolean mReset;
 
+    /** Whether to confirm the end of input. */
+    private volatile boolean mConfirmsEnd;
+
+    /** Whether the end of input is being confirmed and not yet reported. */
+    private volatile boolean mEnding;
+
+    /** Returns whether the request has been written. */
+    private volatile BooleanSupplier mWritten = () -> true;
+
+    /** The local monotonic time from which no reset has followed; used while confirming. */
+    private volatile long mQuietNanos;
+
     /** Whether the connection is in its pool, where no response is expected. */
     private volatile boolean mPooled;
 
@@ -53,7 +77,7 @@
     /**
      * Returns whether the connection was reset.
      *
-     * @return true after a failed read
+     * @return true after a failed read, and after a reset that followed the end of input
      */
     public boolean wasReset() {
         return mReset;
@@ -66,6 +90,28 @@
      */
     void setPooled(boolean pooled) {
         mPooled = pooled;
+        if (pooled) {
+            mConfirmsEnd = false;
+        }
+    }
+
+    /**
+     * Confirms the end of input of this connection before it is reported: the request has to be
+     * written, and no reset may follow for some time.
+     *
+     * @param written returns whether the request has been written
+     */
+    void confirmEnd(BooleanSupplier written) {
+        mWritten = written;
+        mConfirmsEnd = true;
+    }
+
+    @Override
+    protected void needsFillInterest() {
+        // The channel stays readable after the end of input, so the selector would not wait.
+        if (!mEnding) {
+            super.needsFillInterest();
+        }
     }
 
     @Override
@@ -73,6 +119,9 @@
         if (isInputShutdown()) {
             return -1;
         }
+        if (mEnding) {
+            return 0;
+        }
         if (mSuccessiveReads >= MAX_SUCCESSIVE_READS) {
             mSuccessiveReads = 0;
             return 0;
@@ -99,6 +148,11 @@
             }
             if (filled > 0) {
                 notIdle();
+            } else if (filled < 0 && mConfirmsEnd) {
+                mEnding = true;
+                mQuietNanos = System.nanoTime();
+                scheduleCheck();
+                filled = 0;
             } else if (filled < 0) {
                 shutdownInput();
             }
@@ -111,4 +165,45 @@
         }
         return filled;
     }
+
+    /** Schedules the next check whether a reset followed the end of input. */
+    private void scheduleCheck() {
+        getScheduler().schedule(this::checkEnd, CHECK_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    /** Reports the end of input if a reset followed it, or none did for some time. */
+    private void checkEnd() {
+        if (!isOpen()) {
+            return;
+        }
+        if (!mWritten.getAsBoolean()) {
+            mQuietNanos = System.nanoTime();
+        }
+        if (isResetNow()) {
+            mReset = true;
+        }
+        if (mReset || System.nanoTime() - mQuietNanos >= CONFIRM_NANOS) {
+            mConfirmsEnd = false;
+            mEnding = false;
+            shutdownInput();
+            getFillInterest().fillable();
+        } else {
+            scheduleCheck();
+        }
+    }
+
+    /**
+     * Tells whether a reset has followed the end of input. Reads do not show it. A selector reports
+     * an error of the channel for any operation, and a connected channel is never ready to connect.
+     *
+     * @return true after a reset
+     */
+    private boolean isResetNow() {
+        try (Selector selector = Selector.open()) {
+            getChannel().register(selector, SelectionKey.OP_CONNECT);
+            return selector.selectNow() > 0;
+        } catch (IOException | CancelledKeyException e) {
+            return true;
+        }
+    }
 }
--- a/router/src/main/java/org/magnoliaseam/backend/BackendExchange.java
+++ b/router/src/main/java/org/magnoliaseam/backend/BackendExchange.java
@@ -70,6 +70,11 @@
         }
     }
 
+    /** Records that the request has been written. */
+    void written() {
+        mEnd.written();
+    }
+
     /**
      * Checks the status and header fields and passes them to the listener.
      *
--- a/router/src/main/java/org/magnoliaseam/backend/JettyBackendClient.java
+++ b/router/src/main/java/org/magnoliaseam/backend/JettyBackendClient.java
@@ -63,6 +63,7 @@
         request.timeout(call.timeoutMillis(), TimeUnit.MILLISECONDS);
         BackendExchange exchange = new BackendExchange(call.id(), listener);
         request.onRequestBegin(exchange::sending);
+        request.onRequestSuccess(written -> exchange.written());
         request.onResponseHeaders(exchange::head);
         request.onResponseContentSource(exchange::content);
         request.send((Result result) -> exchange.complete(result));
--- a/router/src/main/java/org/magnoliaseam/platform/ServerExchange.java
+++ b/router/src/main/java/org/magnoliaseam/platform/ServerExchange.java
@@ -96,6 +96,11 @@
         }
     }
 
+    /** Records that the request has been written. */
+    void written() {
+        mEnd.written();
+    }
+
     /**
      * Checks the status and header fields and passes them to the listener.
      *
--- a/router/src/main/java/org/magnoliaseam/platform/ServerProtocol.java
+++ b/router/src/main/java/org/magnoliaseam/platform/ServerProtocol.java
@@ -97,6 +97,7 @@
         boolean repeatable = callerRequest.route().idempotent();
         ServerExchange exchange = new ServerExchange(callerRequest.id(), repeatable, listener);
         request.onRequestBegin(exchange::sending);
+        request.onRequestSuccess(written -> exchange.written());
         request.onResponseHeaders(exchange::head);
         request.onResponseHeaders(this::adjustIdleTimeout);
         request.onResponseContentSource(exchange::content);
