Refuse answers whose status HTTP does not have

In tests of the exchange 101 passed for an answer, and after 150 and 199 the attempt did not end within 5 s, beyond its limit of 4 s.

Cause: Jetty's parser refuses statuses under 100 and above 999, and nothing of ours looked at the others.

Change: a final status outside of 200 to 599 fails the attempt as mismatched, on both paths. A request that may be repeated goes on to another server, others get 502.

--- a/router/src/main/java/org/magnoliaseam/backend/BackendExchange.java
+++ b/router/src/main/java/org/magnoliaseam/backend/BackendExchange.java
@@ -42,8 +42,8 @@
     /** Whether the backend server refused the request without starting it. */
     private volatile boolean mRefused;
 
-    /** Whether the response carries the id of another request. */
-    private volatile boolean mMismatched;
+    /** Why the response is none to this request, in one sentence; null if it is one. */
+    private volatile String mMismatch;
 
     /**
      * Creates an exchange.
@@ -84,8 +84,11 @@
         mEnd.head(response);
         String echoed = response.getHeaders().get(JettyBackendClient.REQUEST_ID_HEADER);
         if (echoed != null && !echoed.equals(mId.value())) {
-            mMismatched = true;
-            response.abort(new CallCancelledException());
+            mismatch(response, "The answer names another request.");
+            return;
+        }
+        if (!FinalStatus.isValid(response.getStatus())) {
+            mismatch(response, FinalStatus.INVALID);
             return;
         }
         String started = response.getHeaders().get(STARTED_HEADER);
@@ -101,6 +104,17 @@
         mListener.head(new AnswerHead(response.getStatus(), headers));
     }
 
+    /**
+     * Aborts a response that is none to this request, which closes its connection.
+     *
+     * @param response the response
+     * @param reason the reason in one sentence
+     */
+    private void mismatch(Response response, String reason) {
+        mMismatch = reason;
+        response.abort(new CallCancelledException());
+    }
+
     /**
      * Reads the part of the body that has arrived.
      *
@@ -122,8 +136,8 @@
         } else if (mRefused) {
             mListener.failed(
                     BackendFailure.REFUSED, "The backend server refused before the start.");
-        } else if (mMismatched) {
-            mListener.failed(BackendFailure.MISMATCHED, "The answer names another request.");
+        } else if (mMismatch != null) {
+            mListener.failed(BackendFailure.MISMATCHED, mMismatch);
         } else if (result.isSucceeded() && mEnd.wasReset()) {
             mListener.failed(BackendFailure.CONNECTION_LOST, "The connection was reset.");
         } else if (result.isSucceeded()) {
--- a/router/src/main/java/org/magnoliaseam/platform/ServerExchange.java
+++ b/router/src/main/java/org/magnoliaseam/platform/ServerExchange.java
@@ -13,6 +13,7 @@
 import org.eclipse.jetty.io.Content;
 import org.magnoliaseam.backend.BackendFailure;
 import org.magnoliaseam.backend.CallCancelledException;
+import org.magnoliaseam.backend.FinalStatus;
 import org.magnoliaseam.backend.ResponseBodyReader;
 import org.magnoliaseam.backend.ResponseEnd;
 import org.magnoliaseam.exchange.AnswerHead;
@@ -114,8 +115,12 @@
             markUnusable(response, BackendFailure.MISMATCHED, "The answer names another request.");
             return;
         }
-        load(fields.get(WireNames.LOAD));
         int status = response.getStatus();
+        if (!FinalStatus.isValid(status)) {
+            markUnusable(response, BackendFailure.MISMATCHED, FinalStatus.INVALID);
+            return;
+        }
+        load(fields.get(WireNames.LOAD));
         if (status != HttpStatus.MISDIRECTED_REQUEST_421) {
             notices(fields, status);
         }
--- a/router/src/test/java/org/magnoliaseam/backend/JettyBackendClientTest.java
+++ b/router/src/test/java/org/magnoliaseam/backend/JettyBackendClientTest.java
@@ -21,6 +21,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.magnoliaseam.FleetFixtures;
 import org.magnoliaseam.exchange.AnswerHead;
 import org.magnoliaseam.model.BackendKind;
@@ -123,6 +124,20 @@
         assertThat(listener.mEnd.get(5, TimeUnit.SECONDS)).isEqualTo(end);
     }
 
+    /** Guards against statuses outside of 200 to 599 that are passed on as answers. */
+    @ParameterizedTest
+    @ValueSource(strings = {"000", "150", "600", "999"})
+    void invalidStatusIsNoAnswer(String status) throws Exception {
+        Listener listener = start("/a");
+        try (Socket socket = mServer.accept()) {
+            socket.getInputStream().read(new byte[4096]);
+            String answer = "HTTP/1.1 " + status + " Trouble\r\nContent-Length: 4\r\n\r\nbody";
+            socket.getOutputStream().write(answer.getBytes(StandardCharsets.US_ASCII));
+            assertThat(listener.mEnd.get(5, TimeUnit.SECONDS))
+                    .isIn("MISMATCHED", "CONNECTION_LOST");
+        }
+    }
+
     /** Records the end of an answer. */
     private static final class Listener implements BackendListener {
 
--- a/router/src/test/java/org/magnoliaseam/platform/ServerProtocolTest.java
+++ b/router/src/test/java/org/magnoliaseam/platform/ServerProtocolTest.java
@@ -218,6 +218,27 @@
         assertThat(attempt(interim + interim + HEAD + "body", false)).isEqualTo("complete");
     }
 
+    /** Guards against statuses outside of 200 to 599 that are passed on as answers. */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "000", "001", "099", "101", "150", "199", "600", "999", "0200", "2000", "20"
+            })
+    void invalidStatusIsNoAnswer(String status) throws Exception {
+        String head = HEAD.replace("200 OK", status + " Trouble");
+        for (String end : List.of("", "Content-Length: 4\r\n")) {
+            String answer = head.replace("\r\n\r\n", "\r\n" + end + "\r\n") + "body";
+            assertThat(attempt(answer, false)).isIn("MISMATCHED", "CONNECTION_LOST");
+        }
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"200", "299", "404", "500", "599"})
+    void validStatusIsAnAnswer(String status) throws Exception {
+        assertThat(attempt(HEAD.replace("200 OK", status + " Any") + "body", false))
+                .isEqualTo("complete");
+    }
+
     @Test
     void notExecutedHeaderIsARefusal() throws Exception {
         String answer =
