Write answers to their end during a planned stop

Callers saw: answers of 8 MB cut at 6.8 to 7.2 MB by a stop that ended 3.2 s after SIGTERM, with a grace of 8 s.

Cause: a request counts as ended once the HTTP server has its answer, and the stop waited for requests only.

Change: the stop waits until no connection has an answer to write, up to the same time before the end of the grace.

StopUnderLoadIT.answerThatIsStillReadIsWritten without the fix: cut after 5,395,968 of 6,000,000 bytes; with it green.

--- a/router/src/main/java/org/magnoliaseam/caller/ObservedConnectionFactory.java
+++ b/router/src/main/java/org/magnoliaseam/caller/ObservedConnectionFactory.java
@@ -142,6 +142,16 @@
         return mNotices;
     }
 
+    /**
+     * Tells whether an answer is still being written to a connection, or a request received whole
+     * is not yet answered.
+     *
+     * @return true if so
+     */
+    public boolean isAnswering() {
+        return mOpen.stream().anyMatch(ObservedEndPoint::isAnswering);
+    }
+
     /**
      * Closes the connections on which no request is received or in progress.
      *
--- a/router/src/main/java/org/magnoliaseam/caller/ObservedEndPoint.java
+++ b/router/src/main/java/org/magnoliaseam/caller/ObservedEndPoint.java
@@ -154,6 +154,16 @@
         return mReadCallback != null && (!mReceiving || mOnlyLineEnds);
     }
 
+    /**
+     * Tells whether a request that was received whole is not yet answered, or its answer is still
+     * being written to the connection.
+     *
+     * @return false while the connection waits for a request or receives one
+     */
+    synchronized boolean isAnswering() {
+        return mReadCallback == null && !mReceiving;
+    }
+
     @Override
     public int fill(ByteBuffer buffer) throws IOException {
         synchronized (this) {
@@ -194,7 +204,7 @@
             return true;
         }
         long now = mClock.nanos();
-        boolean onlyLineEnds = (!mReceiving || mOnlyLineEnds) && isLineEnds(buffer, count);
+        boolean onlyLineEnds = (!mReceiving || mOnlyLineEnds) && LineEnds.endBuffer(buffer, count);
         if (!mReceiving || mOnlyLineEnds && !onlyLineEnds) {
             mReceiving = true;
             mOnlyLineEnds = onlyLineEnds;
@@ -206,22 +216,6 @@
         return !mEndOfInput;
     }
 
-    /**
-     * Tells whether the last bytes of a buffer are line ends.
-     *
-     * @param buffer the buffer
-     * @param count the number of bytes
-     * @return true if there are no others among them
-     */
-    private static boolean isLineEnds(ByteBuffer buffer, int count) {
-        for (int i = buffer.limit() - count; i < buffer.limit(); i++) {
-            if (buffer.get(i) != '\r' && buffer.get(i) != '\n') {
-                return false;
-            }
-        }
-        return true;
-    }
-
     @Override
     public void fillInterested(Callback callback) {
         boolean ready;
--- a/router/src/main/java/org/magnoliaseam/route/GatewayProcess.java
+++ b/router/src/main/java/org/magnoliaseam/route/GatewayProcess.java
@@ -175,7 +175,7 @@
             do {
                 mConnections.closeIdle();
                 TimeUnit.MILLISECONDS.sleep(DRAIN_CHECK_MILLIS);
-            } while (mGateway.active() > 0 && millisSince(begin) < limit);
+            } while (isServing() && millisSince(begin) < limit);
             mGateway.end();
             closeListener();
             long end = millisSince(begin) + CLOSE_MILLIS;
@@ -190,6 +190,16 @@
         LOG.info("route: stopped, active={}", mGateway.active());
     }
 
+    /**
+     * Tells whether a request is in progress, or an answer has not been written yet. A request ends
+     * when the HTTP server has its answer, which a caller may read for seconds.
+     *
+     * @return true if so
+     */
+    private boolean isServing() {
+        return mGateway.active() > 0 || mConnections.isAnswering();
+    }
+
     /** Stops accepting connections of callers. */
     private void closeListener() {
         for (Connector connector : mServer.getConnectors()) {
--- a/testbed/src/test/java/org/magnoliaseam/testbed/proof/StopUnderLoadIT.java
+++ b/testbed/src/test/java/org/magnoliaseam/testbed/proof/StopUnderLoadIT.java
@@ -4,8 +4,10 @@
 import static org.awaitility.Awaitility.await;
 
 import java.io.IOException;
+import java.io.InputStream;
 import java.net.ConnectException;
 import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -37,6 +39,12 @@
 
     private static final Duration STOP_GRACE = Duration.ofSeconds(5);
 
+    private static final int LARGE_ANSWER_BYTES = 6_000_000;
+
+    private static final int READ_BYTES_PER_SECOND = 800_000;
+
+    private static final int RECEIVE_BUFFER_BYTES = 64 * 1024;
+
     private static final String OPTIONS = "-Xmx128m -XX:+UseSerialGC -XX:TieredStopAtLevel=1";
 
     private final ExecutorService mCallers = Executors.newCachedThreadPool();
@@ -170,6 +178,44 @@
         assertThat(mSite.router().awaitExit(STOP_GRACE)).isZero();
     }
 
+    /** Guards against answers that a stop cuts off while their callers still read them. */
+    @Test
+    void answerThatIsStillReadIsWritten() throws Exception {
+        byte[] body = new byte[LARGE_ANSWER_BYTES];
+        mServer.answers(
+                (request, socket) -> {
+                    String head =
+                            new String(RawServer.sound(request), StandardCharsets.ISO_8859_1)
+                                    .replace("Length: 0", "Length: " + body.length);
+                    RawServer.write(socket, head.getBytes(StandardCharsets.ISO_8859_1));
+                    RawServer.write(socket, body);
+                });
+        try (Socket socket = mSite.connect()) {
+            socket.setReceiveBufferSize(RECEIVE_BUFFER_BYTES);
+            RawSite.write(socket, RawSite.head("POST", "/long/a", "large", 0));
+            await().atMost(STOP_GRACE).until(() -> !mServer.requests().isEmpty());
+            pause(300);
+            mSite.router().send(Signal.TERM);
+            assertThat(readSlowly(socket.getInputStream())).isGreaterThan(body.length);
+        }
+        assertThat(mSite.router().awaitExit(STOP_GRACE)).isZero();
+    }
+
+    /** Reads an answer to its end at a steady rate and returns its bytes with the head. */
+    private static int readSlowly(InputStream input) throws IOException {
+        long begin = System.nanoTime();
+        byte[] buffer = new byte[RECEIVE_BUFFER_BYTES];
+        int read = 0;
+        int count = 0;
+        while (count >= 0 && read < LARGE_ANSWER_BYTES + 1) {
+            count = input.read(buffer);
+            read += Math.max(0, count);
+            long due = read * 1000L / READ_BYTES_PER_SECOND;
+            pause(Math.max(0, due - TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - begin)));
+        }
+        return read;
+    }
+
     /** Guards against payments that the end of the grace period cuts off. */
     @Test
     void paymentThatMayOutlastTheGraceIsRefusedDuringAStop() throws Exception {
