Read all items if the changes exceed one answer

Callers saw: a VM that had missed 11 configurations of 735 KB ran requests with a dropped key for 13 s and more, until the store had forgotten the changes.

Cause: the answer to the watch exceeded the 8 MiB of StoreClient. The failure counted as lost contact, and the same watch was repeated.

Change: a watch whose answer is too large is followed by a full read, as after a 410. It counts as an answer of the store.

--- a/router/src/main/java/org/magnoliaseam/platform/StoreException.java
+++ b/router/src/main/java/org/magnoliaseam/platform/StoreException.java
@@ -16,6 +16,9 @@
     /** Whether the store ended the connection of the call. */
     private final boolean mConnectionEnded;
 
+    /** Whether the response was larger than the client accepts. */
+    private final boolean mTooLarge;
+
     /**
      * Creates an exception.
      *
@@ -26,10 +29,11 @@
         super(message);
         mStatus = status;
         mConnectionEnded = false;
+        mTooLarge = false;
     }
 
     /**
-     * Creates an exception for a call without a response.
+     * Creates an exception for a call without a whole response.
      *
      * @param failure why there was none
      */
@@ -40,6 +44,8 @@
                 failure instanceof IOException
                         && !(failure instanceof ConnectException)
                         && !(failure instanceof SocketTimeoutException);
+        // Jetty's own subclasses of this exception report malformed responses.
+        mTooLarge = failure.getClass() == IllegalArgumentException.class;
     }
 
     /**
@@ -51,6 +57,15 @@
         return mConnectionEnded;
     }
 
+    /**
+     * Tells whether the response was larger than the client accepts.
+     *
+     * @return true if so
+     */
+    boolean tooLarge() {
+        return mTooLarge;
+    }
+
     /**
      * Returns the HTTP status.
      *
--- a/router/src/main/java/org/magnoliaseam/platform/StoreWatch.java
+++ b/router/src/main/java/org/magnoliaseam/platform/StoreWatch.java
@@ -245,6 +245,11 @@
         } else if (cause(failure) instanceof StoreException store && store.status() == GONE) {
             recordContact(call);
             readAll("history no longer available");
+        } else if (!call.full()
+                && cause(failure) instanceof StoreException store
+                && store.tooLarge()) {
+            recordContact(call);
+            readAll("changes too large for one response");
         } else {
             failed(call, cause(failure));
         }
--- a/router/src/test/java/org/magnoliaseam/platform/PlatformFeedTest.java
+++ b/router/src/test/java/org/magnoliaseam/platform/PlatformFeedTest.java
@@ -78,6 +78,9 @@
     /** The time after which the store cuts a watch that waits, in milliseconds; 0 for never. */
     private volatile long mCutMillis;
 
+    /** The spaces that the store adds to the answers of watches. */
+    private volatile int mPadding;
+
     private volatile int mVersion = 1;
 
     @BeforeEach
@@ -179,7 +182,8 @@
         answer(
                 exchange,
                 "{\"events\":[%s],\"store_revision\":%d}"
-                        .formatted(changed ? mMoreItems + event : "", 10 + mVersion));
+                                .formatted(changed ? mMoreItems + event : "", 10 + mVersion)
+                        + " ".repeat(changed ? mPadding : 0));
     }
 
     private static void answer(HttpExchange exchange, String body) throws IOException {
@@ -235,6 +239,23 @@
         }
     }
 
+    /** Tests changes that are larger than the router accepts in one answer. */
+    @Nested
+    class TooLarge {
+        private static final int BYTES = 9 * 1024 * 1024;
+
+        /** Guards against an old configuration in force since the changes to it are too large. */
+        @Test
+        void allItemsAreReadInstead() {
+            mPadding = BYTES;
+            mVersion = 2;
+            await().atMost(Duration.ofSeconds(2)).until(() -> version() == 2);
+            mVersion = 3;
+            await().atMost(Duration.ofSeconds(2)).until(() -> version() == 3);
+            assertThat(mPool.size()).isEqualTo(1);
+        }
+    }
+
     /** Tests items that cannot be used. */
     @Nested
     class Unusable {
