Count a refusal to wait on like a cut watch

Callers saw (by test): a removal held back for 2.2 s if the store ends waiting watches with 429 or 503 after more than a server-heartbeat.

Cause: the time without an answer began with the start of the refused call, although a refusal after the wait shows that the store was there until then.

Change: a waiting call that ends with a response counts like a cut one. If the next calls are refused too, the outage is measured from the first refusal.

--- a/router/src/main/java/org/magnoliaseam/platform/StoreWatch.java
+++ b/router/src/main/java/org/magnoliaseam/platform/StoreWatch.java
@@ -358,7 +358,7 @@
     }
 
     /**
-     * Tells whether the store ended a call that waited for changes.
+     * Tells whether the store ended a call that waited for changes, with or without a response.
      *
      * @param call the failed call
      * @param cause why it failed
@@ -368,7 +368,7 @@
         return !call.full()
                 && call.waitMillis() > 0
                 && cause instanceof StoreException store
-                && store.connectionEnded();
+                && (store.connectionEnded() || store.status() > 0);
     }
 
     /**
--- a/router/src/test/java/org/magnoliaseam/platform/PlatformFeedTest.java
+++ b/router/src/test/java/org/magnoliaseam/platform/PlatformFeedTest.java
@@ -78,6 +78,9 @@
     /** The time after which the store cuts a watch that waits, in milliseconds; 0 for never. */
     private volatile long mCutMillis;
 
+    /** The status with which the store ends a watch that it cuts; 0 to close the connection. */
+    private volatile int mCutStatus;
+
     /** The spaces that the store adds to the answers of watches. */
     private volatile int mPadding;
 
@@ -169,6 +172,9 @@
                 TimeUnit.MILLISECONDS.sleep(5);
                 silent |= mSilent || mStalled != stalled;
                 if (cut > 0 && waited >= cut) {
+                    if (mCutStatus > 0) {
+                        exchange.sendResponseHeaders(mCutStatus, -1);
+                    }
                     exchange.close();
                     return;
                 }
@@ -334,6 +340,14 @@
             await().atMost(Duration.ofMillis(DRAIN_MILLIS)).until(() -> mPool.size() == 0);
         }
 
+        /** Guards against removals that are held back because the store refuses to wait on. */
+        @ParameterizedTest
+        @ValueSource(ints = {429, 503})
+        void refusalsToWaitOnDoNotHoldBackARemoval(int status) throws InterruptedException {
+            mCutStatus = status;
+            cutWatchesDoNotHoldBackARemoval(1500);
+        }
+
         /** Guards against a removal that is held back because of one cut just before it. */
         @Test
         void singleCutDoesNotHoldBackARemoval() {
