Read deadlines of callers that are fractions

Callers saw (by test): X-Deadline-Ms: 599.5 counted as absent, so that the timeout of the route bounded the request, and replicas were handed more time than the caller had.

Change: CallerDeadline reads decimal numbers and cuts parts of a millisecond off.

--- a/router/src/main/java/org/magnoliaseam/platform/CallerProtocol.java
+++ b/router/src/main/java/org/magnoliaseam/platform/CallerProtocol.java
@@ -313,7 +313,7 @@
         headers.add(new Header(HttpHeader.HOST.asString(), fields.get(HttpHeader.HOST)));
         String last = fields.get(WireNames.LAST_EVENT);
         long limit = found.route().timeoutMillis();
-        long requested = parseMillis(fields.get(WireNames.DEADLINE), limit);
+        long requested = CallerDeadline.millis(fields.get(WireNames.DEADLINE), limit);
         return new GatewayRequest(
                 id,
                 found.account(),
@@ -330,21 +330,6 @@
                 arrivedNanos + TimeUnit.MILLISECONDS.toNanos(Math.min(requested, limit)));
     }
 
-    /**
-     * Parses a duration.
-     *
-     * @param text the duration in milliseconds; null if absent
-     * @param fallback the result for an absent or malformed text, in milliseconds
-     * @return the duration in milliseconds, at least 0
-     */
-    private static long parseMillis(String text, long fallback) {
-        try {
-            return text == null ? fallback : Math.max(0, Long.parseLong(text.strip()));
-        } catch (NumberFormatException e) {
-            return fallback;
-        }
-    }
-
     /**
      * Runs a request and cancels it if the caller closes the connection. During a shutdown, a
      * request whose body was received too late is refused, and so is one that must not run twice if
