--- a/review/13/run.sh
+++ b/review/13/run.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Case 13: a request that crashes replicas comes four times at once, at four machines. TROUBLE=0: it is sound.
+# Case 13: replicas reset part of their requests while prompts with new shared parts come. TROUBLE=0: they are sound.
 set -uo pipefail
 cd "$(dirname "$0")/../.."
-exec timeout 110 java -cp target/review-3 CrashTogether review/13
+exec timeout 110 java -cp target/review-3 NewParts review/13
--- a/review/CrashTogether.java
+++ b/review/CrashTogether.java
@@ -5,7 +5,7 @@
 import java.util.TreeMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 
-/** Case 13: a request that crashes replicas comes several times at once, at different machines. */
+/** Case 14: a request that crashes replicas comes several times at once, at different machines. */
 final class CrashTogether {
     private static final int ZONES = 4;
     private static final int WAVES = 4;
--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -3,4 +3,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review-3
-javac -nowarn -d target/review-3 review/Site3.java review/Config3.java review/Pipelined.java review/LateCrash.java review/CrashTogether.java
+javac -nowarn -d target/review-3 review/Site3.java review/Config3.java review/Pipelined.java review/LateCrash.java review/CrashTogether.java review/NewParts.java
