--- a/review/CrashTogether.java
+++ b/review/CrashTogether.java
@@ -1,4 +1,3 @@
-import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -29,16 +28,8 @@
         this.trouble = trouble;
     }
 
-    public static void main(String[] arguments) throws Exception {
-        Path folder = Path.of(arguments[0]);
-        boolean trouble = !"0".equals(System.getenv("TROUBLE"));
-        int result;
-        try (Site3 site = new Site3()) {
-            result = new CrashTogether(site, trouble).run();
-            site.note("exit " + result);
-            site.writeRecord(folder.resolve("record.txt"));
-        }
-        System.exit(result);
+    public static void main(String[] arguments) {
+        Site3.run(arguments[0], (site, trouble) -> new CrashTogether(site, trouble).run());
     }
 
     private boolean answer(Site3.Replica replica, Site3.Message request, Site3.Link link) throws Exception {
--- a/review/Pipelined.java
+++ b/review/Pipelined.java
@@ -1,4 +1,3 @@
-import java.nio.file.Path;
 import java.util.LinkedHashMap;
 import java.util.Map;
 
@@ -9,16 +8,8 @@
 
     private Pipelined() {}
 
-    public static void main(String[] arguments) throws Exception {
-        Path folder = Path.of(arguments[0]);
-        boolean trouble = !"0".equals(System.getenv("TROUBLE"));
-        int result;
-        try (Site3 site = new Site3()) {
-            result = run(site, trouble);
-            site.note("exit " + result);
-            site.writeRecord(folder.resolve("record.txt"));
-        }
-        System.exit(result);
+    public static void main(String[] arguments) {
+        Site3.run(arguments[0], Pipelined::run);
     }
 
     private static int run(Site3 site, boolean trouble) throws Exception {
--- a/review/Site3.java
+++ b/review/Site3.java
@@ -30,13 +30,38 @@
 
     final Path folder;
     final Store store = new Store();
-    final List<Entry> entries = new ArrayList<>();
-    final List<Replica> replicas = new ArrayList<>();
+    final List<Entry> entries = new CopyOnWriteArrayList<>();
+    final List<Replica> replicas = new CopyOnWriteArrayList<>();
     private final StringBuilder record = new StringBuilder();
 
     Site3() throws IOException {
         folder = Files.createTempDirectory("review-3-");
         store.start();
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> entries.forEach(Entry::kill)));
+    }
+
+    interface Case {
+        /** Returns 1 if the rule was broken, 0 if it held, 2 if the case could not run. */
+        int run(Site3 site, boolean trouble) throws Exception;
+    }
+
+    /** Runs a case, writes its record and ends the process with its result. */
+    static void run(String folder, Case body) {
+        boolean trouble = !"0".equals(System.getenv("TROUBLE"));
+        int result = 2;
+        try (Site3 site = new Site3()) {
+            try {
+                result = body.run(site, trouble);
+            } catch (Exception e) {
+                site.note("the case could not run: " + e);
+            }
+            site.note("exit " + result);
+            site.writeRecord(Path.of(folder).resolve("record.txt"));
+        } catch (Exception e) {
+            e.printStackTrace();
+            result = 2;
+        }
+        System.exit(result);
     }
 
     static long millis() {
