Find requests that crash servers some time after their first event

Cause: an answer that had gone on for 250 ms counted as if it were complete. Its marks left the records of all crashes, at all entry VMs. Ruled out: a mark that differs between sends, and late news between entry VMs; the test sends the same request through one entry VM.

Change: a complete answer alone proves a request sound. Marks whose answer has gone on for 250 ms stay candidates and need four crashes, since streams that are only in progress meet three in a series of kills. A crash keeps up to 128 requests in place of 16, as an engine may have 64 streams in progress.

Why it works: what crashes servers is never answered in full, at whatever time it crashes them.

GossipTest's notice carries two marks, of which one has lasted.

--- a/router/src/main/java/org/magnoliaseam/gateway/AttemptProgress.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/AttemptProgress.java
@@ -22,10 +22,10 @@
     private static final double MIN_TIMEOUT_MILLIS = 250;
 
     /**
-     * The time after the first event for which a backend server must continue before the request
-     * counts as harmless, in milliseconds.
+     * The time after the first event for which a backend server must continue before the answer
+     * counts as lasting, in milliseconds.
      */
-    private static final double SURVIVAL_MILLIS = 250;
+    private static final double LASTING_MILLIS = 250;
 
     /** The number of nanoseconds in a millisecond. */
     private static final double NANOS_PER_MILLI = 1e6;
@@ -63,8 +63,8 @@
     /** Whether the first event has been received, so that the prompt has been processed. */
     private volatile boolean mBegun;
 
-    /** Whether the request has not crashed its backend server. */
-    private volatile boolean mSurvived;
+    /** Whether the answer has gone on for some time. */
+    private volatile boolean mLasted;
 
     /**
      * Creates the progress of an attempt that starts.
@@ -152,33 +152,26 @@
     }
 
     /**
-     * Tells whether so much of the answer has arrived that the request counts as harmless.
+     * Tells whether the answer begins to count as lasting: it goes on, though most requests that
+     * crash a backend server do so with the first event.
      *
      * @param nowNanos the local monotonic time
-     * @return true if the backend server has continued for long enough
+     * @return true the first time that the backend server has continued for long enough
      */
-    boolean lasts(long nowNanos) {
-        return mBegun && (nowNanos - mFirstNanos) / NANOS_PER_MILLI > SURVIVAL_MILLIS;
-    }
-
-    /**
-     * Records that the request has not crashed its backend server.
-     *
-     * @return true the first time
-     */
-    boolean survive() {
-        boolean first = !mSurvived;
-        mSurvived = true;
-        return first;
+    boolean beginsToLast(long nowNanos) {
+        boolean lasts = mBegun && (nowNanos - mFirstNanos) / NANOS_PER_MILLI > LASTING_MILLIS;
+        boolean begins = lasts && !mLasted;
+        mLasted |= lasts;
+        return begins;
     }
 
     /**
-     * Tells whether the request has not crashed its backend server.
+     * Tells whether the answer has gone on for some time.
      *
-     * @return true once enough of the answer has arrived
+     * @return true once it counts as lasting
      */
-    boolean survived() {
-        return mSurvived;
+    boolean hasLasted() {
+        return mLasted;
     }
 
     /**
--- a/router/src/main/java/org/magnoliaseam/gateway/CallPlacement.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/CallPlacement.java
@@ -214,7 +214,7 @@
      */
     boolean foundCrashing() {
         return mCheckedChanges != mParts.pool().crashes().changes()
-                && (mAttempt == null || !mAttempt.progress().survived())
+                && (mAttempt == null || !mAttempt.progress().hasLasted())
                 && isRefused();
     }
 
--- a/router/src/main/java/org/magnoliaseam/gateway/CrashGuard.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/CrashGuard.java
@@ -214,7 +214,7 @@
     }
 
     /**
-     * Records that a backend server may have crashed while it had a request unanswered.
+     * Records that a backend server may have crashed before its answer to a request was complete.
      *
      * @param server the start of the backend server
      * @param request the request
@@ -227,7 +227,8 @@
         Set<RequestMark> recorded = mRecords.crashed(hash, now, sentNanos, marks);
         if (!recorded.isEmpty()) {
             mReports.crashed(hash, recorded);
-            mLog.lost(server, request.id(), recorded.size());
+            long lasted = recorded.stream().filter(mRecords::hasLasted).count();
+            mLog.lost(server, request.id(), recorded.size(), lasted);
             mLog.crashed(hash);
             update();
             mOnCrash.run();
@@ -235,7 +236,30 @@
     }
 
     /**
-     * Records an answer, or so much of one that the request has not crashed its backend server.
+     * Records that the answer to a request has gone on for some time. A guarded request no longer
+     * keeps others waiting, unless it is guarded also after that.
+     *
+     * @param server the backend server
+     * @param request the request
+     * @return true if the backend server may run other guarded requests
+     */
+    synchronized boolean lasted(BackendServerId server, GatewayRequest request) {
+        long now = mClock.nanos();
+        boolean changed = false;
+        for (RequestMark mark : marks(request)) {
+            Map<Long, Set<Set<RequestMark>>> reports = mRecords.lasted(mark, now);
+            reports.forEach(mReports::crashedWith);
+            changed |= !reports.isEmpty();
+        }
+        if (changed) {
+            update();
+        }
+        Set<RequestMark> running = mRunning.get(server);
+        return running == null || running.stream().noneMatch(mRecords::isGuarded);
+    }
+
+    /**
+     * Records a complete answer: the request has not crashed its backend server.
      *
      * @param request the request
      */
--- a/router/src/main/java/org/magnoliaseam/gateway/CrashLog.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/CrashLog.java
@@ -39,14 +39,17 @@
      * @param server the start of the backend server
      * @param request the request
      * @param marks the number of its marks that may have caused a crash
+     * @param lasted the number of these with which an answer has gone on for some time
      */
-    void lost(ServerIncarnation server, RequestId request, int marks) {
+    void lost(ServerIncarnation server, RequestId request, int marks, long lasted) {
         LOG.info(
-                "crash: unanswered request lost, server={} start_mark={} request={} marks={}",
+                "crash: unanswered request lost, server={} start_mark={} request={} marks={}"
+                        + " lasted={}",
                 server.id(),
                 server.startMark(),
                 request,
-                marks);
+                marks,
+                lasted);
     }
 
     /**
--- a/router/src/main/java/org/magnoliaseam/gateway/CrashReports.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/CrashReports.java
@@ -70,6 +70,16 @@
         mCrashes.add(new Report(server, marks));
     }
 
+    /**
+     * Adds requests that were unanswered at a crash.
+     *
+     * @param server the hash of the start of the backend server
+     * @param requests the marks of each request that may have caused the crash
+     */
+    void crashedWith(long server, Set<Set<RequestMark>> requests) {
+        requests.forEach(marks -> mCrashes.add(new Report(server, marks)));
+    }
+
     /**
      * Adds a mark of an answered request.
      *
@@ -101,10 +111,7 @@
         }
         mRenewedNanos = nowNanos;
         for (CrashCause cause : mRecords.causesInForce(nowNanos)) {
-            mRecords.reports(cause)
-                    .forEach(
-                            (server, requests) ->
-                                    requests.forEach(marks -> crashed(server, marks)));
+            mRecords.reports(cause).forEach(this::crashedWith);
         }
         return true;
     }
--- a/router/src/main/java/org/magnoliaseam/gateway/GatewayAttempt.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/GatewayAttempt.java
@@ -313,7 +313,7 @@
                     if (!markEnded()) {
                         return;
                     }
-                    survived();
+                    mFeedback.answerComplete();
                     if (mPushedBack) {
                         mFeedback.ended();
                     } else if (mAnswer.isServerError()) {
@@ -342,7 +342,7 @@
                     mAnswer.release();
                     boolean mayBeCrash =
                             failure.mayBeCrash() || failure == BackendFailure.INCOMPLETE;
-                    if (!mGivenUp && !mProgress.survived() && mayBeCrash) {
+                    if (!mGivenUp && mayBeCrash) {
                         mFeedback.lost();
                     }
                     if (mPushedBack || mGivenUp && failure == BackendFailure.INCOMPLETE) {
@@ -356,13 +356,6 @@
                 });
     }
 
-    /** Records that the request has not crashed its backend server. */
-    private void survived() {
-        if (mProgress.survive()) {
-            mFeedback.survived();
-        }
-    }
-
     /** Records the arrival of events. */
     private void recordProgress() {
         mFeedback.progressed();
@@ -376,8 +369,8 @@
         } else {
             mCall.paused(nanos);
         }
-        if (mProgress.lasts(now)) {
-            survived();
+        if (mProgress.beginsToLast(now)) {
+            mFeedback.lasted();
         }
     }
 
--- a/router/src/main/java/org/magnoliaseam/gateway/ServerFeedback.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/ServerFeedback.java
@@ -1,9 +1,7 @@
 package org.magnoliaseam.gateway;
 
-import java.util.concurrent.atomic.AtomicBoolean;
 import org.magnoliaseam.backend.BackendFailure;
 import org.magnoliaseam.leaving.LeavingSource;
-import org.magnoliaseam.leaving.ServerIncarnation;
 import org.magnoliaseam.membership.StableHash;
 import org.magnoliaseam.permit.SlotRule;
 import org.magnoliaseam.pushback.NoticeFault;
@@ -48,8 +46,8 @@
     /** The local monotonic time at which the attempt was sent. */
     private volatile long mSentNanos;
 
-    /** Whether other guarded requests may run at the backend server again. */
-    private final AtomicBoolean mGuardEnded = new AtomicBoolean();
+    /** Records whether the request crashes backend servers. */
+    private final CrashFeedback mCrashes;
 
     /** Whether the attempt counts among the silent ones. */
     private volatile boolean mSilent;
@@ -94,6 +92,7 @@
         mNotices = pool.notices();
         mClock = clock;
         mStartedNanos = clock.nanos();
+        mCrashes = new CrashFeedback(pool.crashes(), start, request);
     }
 
     /**
@@ -182,7 +181,7 @@
     /** Records that an answer says that the backend server is leaving. */
     void leaving() {
         synchronized (mPool) {
-            mServers.leaving(incarnation(), LeavingSource.ANSWER, mClock.nanos());
+            mServers.leaving(mCrashes.server(), LeavingSource.ANSWER, mClock.nanos());
         }
     }
 
@@ -251,7 +250,7 @@
     /** Records that the backend server continues its answer. */
     void progressed() {
         server().silence().answeredAttempt(mSentNanos);
-        mPool.crashes().answers(incarnation(), mSentNanos);
+        mCrashes.progressed(mSentNanos);
     }
 
     /**
@@ -296,38 +295,26 @@
         }
     }
 
-    /** Records that the request has not crashed the backend server. */
-    void survived() {
-        mPool.crashes().answered(mRequest);
-        endGuard();
+    /** Records that the answer has gone on for some time. */
+    void lasted() {
+        mCrashes.lasted();
     }
 
-    /** Records that the backend server may have crashed before it answered. */
-    void lost() {
-        mPool.crashes().lost(incarnation(), mRequest, mSentNanos);
-    }
-
-    /** Lets other guarded requests run at the backend server. */
-    private void endGuard() {
-        if (mStart.guarded() && mGuardEnded.compareAndSet(false, true)) {
-            mPool.crashes().ended(server().id());
-        }
+    /** Records that the answer is complete: the request has not crashed the backend server. */
+    void answerComplete() {
+        mCrashes.answered();
     }
 
-    /**
-     * Returns the start of the backend server that was published when the attempt began.
-     *
-     * @return the start
-     */
-    private ServerIncarnation incarnation() {
-        return new ServerIncarnation(server().id(), mStart.entry().startMark());
+    /** Records that the backend server may have crashed before its answer was complete. */
+    void lost() {
+        mCrashes.lost(mSentNanos);
     }
 
     /** Counts the end of the attempt. */
     private void end() {
         mEnded = true;
         endSilence();
-        endGuard();
+        mCrashes.endGuard();
         leavePushback(false);
         server().end();
     }
--- a/router/src/main/java/org/magnoliaseam/gossip/CrashNewsCodec.java
+++ b/router/src/main/java/org/magnoliaseam/gossip/CrashNewsCodec.java
@@ -30,10 +30,8 @@
             packer.packLong(crash.crashAgeMillis());
             packer.packLong(crash.sentAgeMillis());
             packer.packLong(crash.useAgeMillis());
-            packer.packArrayHeader(crash.marks().size());
-            for (RequestMark mark : crash.marks()) {
-                packer.packLong(mark.value());
-            }
+            encode(crash.marks(), packer);
+            encode(crash.lasted(), packer);
         }
         packer.packArrayHeader(news.answers().size());
         for (AnswerNotice answer : news.answers()) {
@@ -46,6 +44,20 @@
         }
     }
 
+    /**
+     * Encodes marks.
+     *
+     * @param marks the marks
+     * @param packer receives the bytes
+     * @throws IOException if the packer cannot write
+     */
+    private static void encode(Set<RequestMark> marks, MessagePacker packer) throws IOException {
+        packer.packArrayHeader(marks.size());
+        for (RequestMark mark : marks) {
+            packer.packLong(mark.value());
+        }
+    }
+
     /**
      * Decodes news.
      *
@@ -72,8 +84,19 @@
         long crashAge = unpacker.unpackLong();
         long sentAge = unpacker.unpackLong();
         long useAge = unpacker.unpackLong();
-        Set<RequestMark> marks = new HashSet<>(DigestCodec.list(unpacker, CrashNewsCodec::mark));
-        return new CrashNotice(server, crashAge, sentAge, useAge, Set.copyOf(marks));
+        Set<RequestMark> marks = marks(unpacker);
+        return new CrashNotice(server, crashAge, sentAge, useAge, marks, marks(unpacker));
+    }
+
+    /**
+     * Reads marks.
+     *
+     * @param unpacker reads the digest
+     * @return the marks
+     * @throws IOException if the element is malformed
+     */
+    private static Set<RequestMark> marks(MessageUnpacker unpacker) throws IOException {
+        return Set.copyOf(new HashSet<>(DigestCodec.list(unpacker, CrashNewsCodec::mark)));
     }
 
     /**
--- a/router/src/main/java/org/magnoliaseam/suspect/Crash.java
+++ b/router/src/main/java/org/magnoliaseam/suspect/Crash.java
@@ -9,8 +9,8 @@
 /** Holds the requests that were unanswered when a backend server crashed. Not thread-safe. */
 final class Crash {
 
-    /** The largest number of requests to keep. */
-    private static final int MAX_REQUESTS = 16;
+    /** The largest number of requests to keep: those that an engine may run at once, and a few. */
+    private static final int MAX_REQUESTS = 128;
 
     /** The hash of the start of the backend server. */
     private final long mServer;
--- a/router/src/main/java/org/magnoliaseam/suspect/CrashAnalysis.java
+++ b/router/src/main/java/org/magnoliaseam/suspect/CrashAnalysis.java
@@ -10,6 +10,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Predicate;
 
 /**
  * Finds what explains crashes of backend servers. A mark is a candidate at a crash if a request
@@ -17,15 +18,24 @@
  * mark if a request with it was sent after the crash counted before; servers that end at the same
  * moment, as when a failure domain loses power, thus count once. Crashes that one cause explains do
  * not count towards other marks.
+ *
+ * <p>A mark has lasted if an answer to a request with it has gone on for some time. Long sound
+ * answers are in progress at many crashes, so such marks need more crashes.
  */
 final class CrashAnalysis {
 
-    /** The crashes after which a prompt part without any answer is a cause. */
+    /** The crashes after which a prompt part that has not lasted is a cause. */
     private static final int PART_CRASHES = 2;
 
     /** The crashes after which a whole request is a cause, and equal candidates are. */
     private static final int CERTAIN_CRASHES = 3;
 
+    /** The crashes after which a mark that has lasted is a cause. */
+    private static final int LASTED_CRASHES = 4;
+
+    /** Tells whether a mark has lasted. */
+    private final Predicate<RequestMark> mLasted;
+
     /** The crashes, the earliest first. */
     private final List<Crash> mCrashes;
 
@@ -48,8 +58,10 @@
      * Analyses crashes.
      *
      * @param crashes the crashes
+     * @param lasted tells whether a mark has lasted
      */
-    CrashAnalysis(Collection<Crash> crashes) {
+    CrashAnalysis(Collection<Crash> crashes, Predicate<RequestMark> lasted) {
+        mLasted = lasted;
         mCrashes = new ArrayList<>(crashes);
         mCrashes.sort((a, b) -> Long.signum(a.nanos() - b.nanos()));
         for (int i = 0; i < mCrashes.size(); i++) {
@@ -59,7 +71,7 @@
             addCause(next.get());
         }
         for (RequestMark mark : mMarks.keySet()) {
-            if (count(mark, true) >= crashesToCause(mark) - 1) {
+            if (hasCrashes(mark, crashesToCause(mark) - 1)) {
                 mGuarded.add(mark);
             }
         }
@@ -132,16 +144,18 @@
     }
 
     /**
-     * Selects the mark that explains the most crashes of those that have enough.
+     * Selects the mark that explains the most crashes of those that have enough. One that has not
+     * lasted comes first, since an answer in progress is found at a crash more often by chance.
      *
      * @return the mark; empty if none has
      */
     private Optional<RequestMark> next() {
         return mMarks.keySet().stream()
-                .filter(mark -> count(mark, true) >= crashesToCause(mark))
+                .filter(mark -> hasCrashes(mark, crashesToCause(mark)))
                 .filter(mark -> count(mark, true) >= CERTAIN_CRASHES || !hasEqual(mark))
                 .min(
-                        Comparator.comparing(RequestMark::isWholeRequest)
+                        Comparator.comparing(mLasted::test)
+                                .thenComparing(RequestMark::isWholeRequest)
                                 .thenComparing(mark -> -count(mark, true))
                                 .thenComparing(RequestMark::value));
     }
@@ -166,12 +180,26 @@
      * @param mark the mark
      * @return the number
      */
-    private static int crashesToCause(RequestMark mark) {
+    private int crashesToCause(RequestMark mark) {
+        if (mLasted.test(mark)) {
+            return LASTED_CRASHES;
+        }
         return mark.isWholeRequest() ? CERTAIN_CRASHES : PART_CRASHES;
     }
 
     /**
-     * Tells whether a mark of other requests explains the same crashes.
+     * Tells whether enough crashes count towards a mark.
+     *
+     * @param mark the mark
+     * @param crashes the number of crashes
+     * @return true if so many count that no cause explains
+     */
+    private boolean hasCrashes(RequestMark mark, int crashes) {
+        return mMarks.get(mark).mCrashes.cardinality() >= crashes && count(mark, true) >= crashes;
+    }
+
+    /**
+     * Tells whether a mark of other requests, which has not lasted, explains the same crashes.
      *
      * @param mark a mark with crashes that no cause explains
      * @return true if the crashes do not tell the two apart
@@ -180,7 +208,7 @@
         MarkedRequests requests = mMarks.get(mark);
         BitSet crashes = unexplained(requests);
         return mMarksAt.get(crashes.nextSetBit(0)).stream()
-                .filter(other -> !requests.mCommon.contains(other))
+                .filter(other -> !requests.mCommon.contains(other) && !mLasted.test(other))
                 .anyMatch(other -> containsAll(mMarks.get(other).mCrashes, crashes));
     }
 
--- a/router/src/main/java/org/magnoliaseam/suspect/CrashNotice.java
+++ b/router/src/main/java/org/magnoliaseam/suspect/CrashNotice.java
@@ -12,10 +12,12 @@
  * @param useAgeMillis the time since the notice last had a request refused, or since the crash, in
  *     milliseconds
  * @param marks the marks of the request that no answered request has had since
+ * @param lasted those of these marks with which an answer has gone on for some time
  */
 public record CrashNotice(
         long server,
         long crashAgeMillis,
         long sentAgeMillis,
         long useAgeMillis,
-        Set<RequestMark> marks) {}
+        Set<RequestMark> marks,
+        Set<RequestMark> lasted) {}
--- a/router/src/main/java/org/magnoliaseam/suspect/CrashRecords.java
+++ b/router/src/main/java/org/magnoliaseam/suspect/CrashRecords.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -10,11 +9,11 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Collectors;
-import org.magnoliaseam.membership.StableHash;
 
 /**
  * Records which requests were unanswered when backend servers crashed, as seen by all entry VMs,
- * and decides which requests are refused. Several reports of one crash count once. Not thread-safe.
+ * and decides which requests are refused. A request is unanswered until its answer is complete.
+ * Several reports of one crash count once. Not thread-safe.
  */
 public final class CrashRecords {
 
@@ -39,12 +38,15 @@
     /** The time for which answers may still arrive after a crash, in nanoseconds. */
     private static final long CRASH_SLACK_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
 
-    /** The crashes by the hash of the start of the backend server. */
-    private final Map<Long, Crash> mCrashes = new LinkedHashMap<>();
+    /** The crashes. */
+    private final CrashTable mCrashes = new CrashTable(MAX_CRASHES);
 
-    /** The marks of answered requests. */
+    /** The marks of requests whose answer was complete. */
     private final AnsweredMarks mAnswered = new AnsweredMarks();
 
+    /** The marks of requests whose answer has gone on for some time. */
+    private final AnsweredMarks mLasted = new AnsweredMarks();
+
     /** The starts of backend servers that have not crashed. */
     private final Set<Long> mSurvivors = new LinkedHashSet<>();
 
@@ -61,13 +63,7 @@
      * @return the hash to record the crash under
      */
     public long crashOf(long server, long sentNanos) {
-        long hash = server;
-        for (Crash crash = mCrashes.get(hash);
-                crash != null && sentNanos - crash.nanos() > 0;
-                crash = mCrashes.get(hash)) {
-            hash = StableHash.mix(hash + 1);
-        }
-        return hash;
+        return mCrashes.crashOf(server, sentNanos);
     }
 
     /**
@@ -88,21 +84,49 @@
         if (candidates.isEmpty() || mSurvivors.contains(server)) {
             return Set.of();
         }
-        Crash crash = mCrashes.computeIfAbsent(server, hash -> new Crash(hash, crashNanos));
-        if (!crash.add(candidates, sentNanos)) {
+        if (!mCrashes.add(server, crashNanos, candidates, sentNanos)) {
             return Set.of();
         }
         mAnalysis = null;
-        if (mCrashes.size() > MAX_CRASHES) {
-            mCrashes.values().stream()
-                    .min((a, b) -> Long.signum(a.usedNanos() - b.usedNanos()))
-                    .ifPresent(oldest -> mCrashes.remove(oldest.server()));
-        }
         return candidates;
     }
 
     /**
-     * Records an answer to a request with a mark, which does not crash backend servers then.
+     * Records that the answer to a request with a mark has gone on for some time. More crashes are
+     * needed then for the mark to be a cause.
+     *
+     * @param mark the mark
+     * @param nanos the local monotonic time
+     * @return the notices that the other entry VMs need: the hashes of the starts of the backend
+     *     servers at whose crash the mark is a candidate, with the marks of the requests; empty if
+     *     this is not new
+     */
+    public Map<Long, Set<Set<RequestMark>>> lasted(RequestMark mark, long nanos) {
+        boolean known = hasLasted(mark);
+        mLasted.add(mark, nanos);
+        if (known) {
+            return Map.of();
+        }
+        Map<Long, Set<Set<RequestMark>>> reports = mCrashes.requestsWith(mark);
+        if (!reports.isEmpty()) {
+            mAnalysis = null;
+        }
+        return reports;
+    }
+
+    /**
+     * Tells whether the answer to a request with a mark is known to have gone on for some time.
+     *
+     * @param mark the mark
+     * @return true if it has lasted lately
+     */
+    public boolean hasLasted(RequestMark mark) {
+        return mLasted.contains(mark);
+    }
+
+    /**
+     * Records a complete answer to a request with a mark, which does not crash backend servers
+     * then.
      *
      * @param mark the mark
      * @param nanos the local monotonic time of the answer
@@ -110,12 +134,8 @@
      */
     public boolean answered(RequestMark mark, long nanos) {
         mAnswered.add(mark, nanos);
-        boolean changed = false;
-        for (Crash crash : mCrashes.values()) {
-            changed |= crash.remove(mark);
-        }
+        boolean changed = mCrashes.remove(mark);
         if (changed) {
-            mCrashes.values().removeIf(crash -> crash.requests().isEmpty());
             mAnalysis = null;
         }
         return changed;
@@ -130,11 +150,12 @@
      * @return true if the backend server has not crashed, though it was recorded
      */
     public boolean answers(long server, long sentNanos, long nowNanos) {
-        Crash crash = mCrashes.get(server);
-        return crash != null
-                && crash.nanos() - sentNanos > 0
-                && nowNanos - crash.nanos() > CRASH_SLACK_NANOS
-                && survived(server);
+        boolean survived =
+                mCrashes.crash(server)
+                        .filter(crash -> crash.nanos() - sentNanos > 0)
+                        .filter(crash -> nowNanos - crash.nanos() > CRASH_SLACK_NANOS)
+                        .isPresent();
+        return survived && survived(server);
     }
 
     /**
@@ -150,7 +171,7 @@
         if (mSurvivors.size() > MAX_SURVIVORS) {
             mSurvivors.remove(mSurvivors.iterator().next());
         }
-        if (mCrashes.remove(server) != null) {
+        if (mCrashes.remove(server)) {
             mAnalysis = null;
         }
         return true;
@@ -221,7 +242,7 @@
      * @return true if no request is guarded or refused
      */
     public boolean isEmpty() {
-        return mCrashes.isEmpty();
+        return mCrashes.crashes().isEmpty();
     }
 
     /**
@@ -238,7 +259,7 @@
                     .max((a, b) -> Long.signum(a - b))
                     .ifPresent(latest -> crashes.forEach(crash -> crash.used(latest)));
         }
-        if (mCrashes.values().removeIf(crash -> nowNanos - crash.usedNanos() > RETENTION_NANOS)) {
+        if (mCrashes.expire(nowNanos, RETENTION_NANOS)) {
             mAnalysis = null;
         }
     }
@@ -262,17 +283,19 @@
      * @return the notice; empty if the request no longer counts
      */
     public Optional<CrashNotice> notice(long server, Set<RequestMark> marks, long nowNanos) {
-        Crash crash = mCrashes.get(server);
-        Long sent = crash == null ? null : crash.sentNanos(marks);
-        return sent == null
-                ? Optional.empty()
-                : Optional.of(
-                        new CrashNotice(
-                                server,
-                                ageMillis(crash.nanos(), nowNanos),
-                                ageMillis(sent, nowNanos),
-                                ageMillis(crash.usedNanos(), nowNanos),
-                                marks));
+        return mCrashes.crash(server)
+                .filter(crash -> crash.sentNanos(marks) != null)
+                .map(
+                        crash ->
+                                new CrashNotice(
+                                        server,
+                                        Ages.millis(crash.nanos(), nowNanos),
+                                        Ages.millis(crash.sentNanos(marks), nowNanos),
+                                        Ages.millis(crash.usedNanos(), nowNanos),
+                                        marks,
+                                        marks.stream()
+                                                .filter(this::hasLasted)
+                                                .collect(Collectors.toUnmodifiableSet())));
     }
 
     /**
@@ -283,17 +306,19 @@
      * @return the marks that may have caused the crash; empty if nothing new was recorded
      */
     public Set<RequestMark> heard(CrashNotice notice, long nowNanos) {
+        boolean news = false;
+        for (RequestMark mark : notice.lasted()) {
+            news |= !lasted(mark, nowNanos).isEmpty();
+        }
         Set<RequestMark> recorded =
                 crashed(
                         notice.server(),
-                        nanos(notice.crashAgeMillis(), nowNanos),
-                        nanos(notice.sentAgeMillis(), nowNanos),
+                        Ages.nanos(notice.crashAgeMillis(), nowNanos),
+                        Ages.nanos(notice.sentAgeMillis(), nowNanos),
                         notice.marks());
-        Crash crash = mCrashes.get(notice.server());
-        if (crash != null) {
-            crash.used(nanos(notice.useAgeMillis(), nowNanos));
-        }
-        return recorded;
+        mCrashes.crash(notice.server())
+                .ifPresent(crash -> crash.used(Ages.nanos(notice.useAgeMillis(), nowNanos)));
+        return news ? notice.marks() : recorded;
     }
 
     /**
@@ -306,7 +331,7 @@
     public Optional<AnswerNotice> answer(RequestMark mark, long nowNanos) {
         return mAnswered
                 .nanos(mark)
-                .map(nanos -> new AnswerNotice(mark, ageMillis(nanos, nowNanos)));
+                .map(nanos -> new AnswerNotice(mark, Ages.millis(nanos, nowNanos)));
     }
 
     /**
@@ -317,7 +342,7 @@
      * @return true if the mark was a candidate for an earlier crash
      */
     public boolean heard(AnswerNotice notice, long nowNanos) {
-        return answered(notice.mark(), nanos(notice.ageMillis(), nowNanos));
+        return answered(notice.mark(), Ages.nanos(notice.ageMillis(), nowNanos));
     }
 
     /**
@@ -343,7 +368,7 @@
     private List<Crash> crashes(CrashCause cause) {
         List<Crash> crashes = new ArrayList<>();
         for (long server : cause.servers()) {
-            Optional.ofNullable(mCrashes.get(server)).ifPresent(crashes::add);
+            mCrashes.crash(server).ifPresent(crashes::add);
         }
         return crashes;
     }
@@ -355,30 +380,8 @@
      */
     private CrashAnalysis analysis() {
         if (mAnalysis == null) {
-            mAnalysis = new CrashAnalysis(mCrashes.values());
+            mAnalysis = new CrashAnalysis(mCrashes.crashes(), this::hasLasted);
         }
         return mAnalysis;
     }
-
-    /**
-     * Converts a local time to an age.
-     *
-     * @param nanos the local monotonic time
-     * @param nowNanos the local monotonic time now
-     * @return the age in milliseconds
-     */
-    private static long ageMillis(long nanos, long nowNanos) {
-        return TimeUnit.NANOSECONDS.toMillis(Math.max(0, nowNanos - nanos));
-    }
-
-    /**
-     * Converts an age to a local time.
-     *
-     * @param ageMillis the age in milliseconds
-     * @param nowNanos the local monotonic time now
-     * @return the local monotonic time
-     */
-    private static long nanos(long ageMillis, long nowNanos) {
-        return nowNanos - TimeUnit.MILLISECONDS.toNanos(Math.max(0, ageMillis));
-    }
 }
--- a/router/src/test/java/org/magnoliaseam/gateway/CrashGuardCallTest.java
+++ b/router/src/test/java/org/magnoliaseam/gateway/CrashGuardCallTest.java
@@ -177,6 +177,62 @@
         }
     }
 
+    /** Tests requests that crash a backend server some time after their first event. */
+    @Nested
+    class Late {
+        /** Sends a request of which each attempt is lost after some events. */
+        private RecordingSink crashLate(String id, long eventMillis) {
+            int before = mBackend.mListeners.size();
+            RecordingSink sink = submit(id, "shared");
+            for (int i = before; i < mBackend.mListeners.size(); i++) {
+                mNow.addAndGet(100 * MILLI);
+                mBackend.last().head(new AnswerHead(200, List.of()));
+                mBackend.last().content(event(1));
+                mNow.addAndGet(eventMillis * MILLI);
+                mBackend.last().content(event(2));
+                crash();
+            }
+            return sink;
+        }
+
+        private ByteBuffer event(int id) {
+            String text = "id: " + id + "\ndata: x\n\n";
+            return ByteBuffer.wrap(text.getBytes(StandardCharsets.UTF_8));
+        }
+
+        /** Review case 12: such requests were never recognised. */
+        @Test
+        void requestThatCrashesServersAfterItsFirstEventsIsRefused() {
+            RecordingSink sink = null;
+            for (int i = 0; i < 10; i++) {
+                sink = crashLate("late", 400);
+                mNow.addAndGet(1500 * MILLI);
+            }
+            assertThat(mBackend.mOrders).hasSize(4);
+            assertThat(sink.mRefusal.kind()).isEqualTo(ErrorKind.CRASHING_REQUEST);
+        }
+
+        @Test
+        void requestThatCrashesServersAtAnotherTimeEachIsRefused() {
+            for (int i = 0; i < 10; i++) {
+                crashLate("late", i % 2 == 0 ? 2000 : 10);
+                mNow.addAndGet(1500 * MILLI);
+            }
+            assertThat(mBackend.mOrders).hasSize(4);
+        }
+
+        @Test
+        void requestThatIsAnsweredAfterThreeCrashesIsServed() {
+            crashLate("late", 400);
+            int before = mBackend.mOrders.size();
+            submit("late", "shared");
+            crash();
+            assertThat(mBackend.mOrders).hasSize(before + 2);
+            answer();
+            assertThat(mPool.crashes().guards(request("late", "shared"))).isFalse();
+        }
+    }
+
     /** Tests what the other entry VMs are told. */
     @Nested
     class News {
--- a/router/src/test/java/org/magnoliaseam/gateway/SimulatedFleet.java
+++ b/router/src/test/java/org/magnoliaseam/gateway/SimulatedFleet.java
@@ -67,7 +67,8 @@
 
     private final Map<String, SimulatedOutcome> mOutcomes = new HashMap<>();
 
-    private final Set<String> mCrashingParts = new HashSet<>();
+    /** The parts that crash engines, with the events before the crash. */
+    private final Map<String, Integer> mCrashingParts = new HashMap<>();
 
     private final List<Long> mCrashes = new ArrayList<>();
 
@@ -180,7 +181,12 @@
 
     /** Makes each engine crash that begins to answer a prompt with a part. */
     void crashOn(String part) {
-        mCrashingParts.add(part);
+        crashAfter(part, 0);
+    }
+
+    /** Makes each engine crash that has sent some events of an answer to a prompt with a part. */
+    void crashAfter(String part, int events) {
+        mCrashingParts.put(part, events);
     }
 
     /** Returns the times at which engines crashed because of a part of a prompt. */
@@ -188,9 +194,12 @@
         return mCrashes;
     }
 
-    private boolean crashes(Engine engine, Run run) {
+    private boolean crashes(Engine engine, Run run, int events) {
         Prompt prompt = run.mOrder.request().prompt();
-        if (prompt.sharedParts().stream().noneMatch(part -> mCrashingParts.contains(part.id()))) {
+        boolean crashes =
+                prompt.sharedParts().stream()
+                        .anyMatch(part -> mCrashingParts.getOrDefault(part.id(), -1) == events);
+        if (!crashes) {
             return false;
         }
         mCrashes.add(mNow);
@@ -332,7 +341,7 @@
                 () -> {
                     if (engine.mQueue.peek() == run) {
                         engine.mQueue.remove();
-                        if (run.mEnded || !crashes(engine, run)) {
+                        if (run.mEnded || !crashes(engine, run, 0)) {
                             occupy(engine, run);
                             process(engine);
                             begin(engine, run);
@@ -370,6 +379,9 @@
         }
         String text = "id: " + id + "\ndata: x\n\n";
         run.mListener.content(ByteBuffer.wrap(text.getBytes(StandardCharsets.UTF_8)));
+        if (!run.mEnded && crashes(engine, run, id)) {
+            return;
+        }
         if (id < run.mOrder.request().prompt().maxOutputTokens()) {
             at(mNow + EVENT_NANOS, () -> event(engine, run, id + 1));
         } else {
--- a/router/src/test/java/org/magnoliaseam/gossip/GossipTest.java
+++ b/router/src/test/java/org/magnoliaseam/gossip/GossipTest.java
@@ -64,7 +64,10 @@
                                         30,
                                         150,
                                         20,
-                                        Set.of(new RequestMark(Long.MIN_VALUE + 1)))),
+                                        Set.of(
+                                                new RequestMark(Long.MIN_VALUE + 1),
+                                                new RequestMark(4)),
+                                        Set.of(new RequestMark(4)))),
                         List.of(new AnswerNotice(new RequestMark(8), 12)),
                         List.of(-9L)));
     }
--- a/router/src/test/java/org/magnoliaseam/suspect/CrashRecordsTest.java
+++ b/router/src/test/java/org/magnoliaseam/suspect/CrashRecordsTest.java
@@ -272,7 +272,7 @@
         @Test
         void crashThatSeveralEntryVmsSawCountsOnce() {
             crash(1, 1000, CRASHING, whole(1));
-            CrashNotice notice = new CrashNotice(1, 3, 90, 3, Set.of(CRASHING, whole(2)));
+            CrashNotice notice = new CrashNotice(1, 3, 90, 3, Set.of(CRASHING, whole(2)), Set.of());
             mRecords.heard(notice, millis(1010));
             assertThat(verdict(1011, CRASHING)).isEqualTo(SuspectVerdict.GUARDED);
         }
@@ -293,7 +293,8 @@
             crash(2, 1500, CRASHING);
             long later = 1500 + CrashRecords.QUIET_MILLIS + 500;
             mRecords.heard(
-                    new CrashNotice(2, later - 1500, later - 1400, 1000, Set.of(CRASHING)),
+                    new CrashNotice(
+                            2, later - 1500, later - 1400, 1000, Set.of(CRASHING), Set.of()),
                     millis(later));
             assertThat(verdict(later, CRASHING)).isEqualTo(SuspectVerdict.REFUSED);
         }
@@ -308,7 +309,7 @@
         @Test
         void negativeAgesAreReadAsNow() {
             mRecords.heard(
-                    new CrashNotice(1, -50_000, Long.MIN_VALUE, -1, Set.of(CRASHING)),
+                    new CrashNotice(1, -50_000, Long.MIN_VALUE, -1, Set.of(CRASHING), Set.of()),
                     millis(1000));
             mRecords.heard(new AnswerNotice(CRASHING, -1), millis(1001));
             assertThat(verdict(1002, CRASHING)).isEqualTo(SuspectVerdict.FREE);
