End refusals of sound requests after lost connections

Cause: each lost connection counts as a crash. Only an event to a request that was sent before it could refute that, 100 ms later; no stream of the case lasts so long. And each refused request put off the trial that alone would have ended the refusal.

Change: a start that is known to have lived before and after a loss has not crashed: an answer on a connection from before the loss shows it, and so does a connection that is made within 1.5 s, as a crashed server is back after some seconds. Attempts learn when their connection was made. Losses at such a start are no evidence for 3 s; until now they never were again, so that a real crash of a replica that had once reset a request did not count. Log line and counter for trials. GuardedRuns and CrashMarks are split off from CrashGuard.

Why it works: a reset of one request leaves the port and the other connections of a server, which a crash takes along; and what is left of wrong evidence ends by a trial that no refusal puts off.

Tests: ResettingServersReplayTest 10 of 10 and CrashTrialTest 4 of 5 failed on. Two tests demanded the fault and are replaced: oneRequestIsTriedAfterAQuietTimeAndNoneWhileTheyCome (no trial while requests come) by oneRequestIsTriedWhileTheyCome, trialsBecomeRarerWithEachCrash and entryVmsTakeTurnsInTrials; refusalElsewhereKeepsACauseInForce (the same over entry VMs) by trialElsewhereIsNotRepeatedHere and refusalElsewhereKeepsACauseFromBeingForgotten. CrashGuardCallTest.Late waits 500 ms in place of 1500 between sends, so that it ends before a trial is due; its check of four sends is the same.

Router: 1,162 tests, 0 failures.

--- a/router/src/main/java/org/magnoliaseam/backend/BackendEndPoint.java
+++ b/router/src/main/java/org/magnoliaseam/backend/BackendEndPoint.java
@@ -6,8 +6,11 @@
 import java.nio.channels.SelectionKey;
 import java.nio.channels.Selector;
 import java.nio.channels.SocketChannel;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
+import org.eclipse.jetty.client.Request;
+import org.eclipse.jetty.io.AbstractConnection;
 import org.eclipse.jetty.io.ManagedSelector;
 import org.eclipse.jetty.io.SocketChannelEndPoint;
 import org.eclipse.jetty.util.BufferUtil;
@@ -37,6 +40,9 @@
     /** The time after which no reset is expected to follow, in nanoseconds. */
     private static final long CONFIRM_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
 
+    /** The local monotonic time at which the connection was made. */
+    private final long mOpenedNanos = System.nanoTime();
+
     /** Whether the connection was reset. */
     private volatile boolean mReset;
 
@@ -74,6 +80,28 @@
         super(channel, selector, key, scheduler);
     }
 
+    /**
+     * Returns the connection that a request is sent on.
+     *
+     * @param request the request
+     * @return the end point of the connection; empty if there is none yet
+     */
+    public static Optional<BackendEndPoint> of(Request request) {
+        return request.getConnection() instanceof AbstractConnection connection
+                        && connection.getEndPoint() instanceof BackendEndPoint endPoint
+                ? Optional.of(endPoint)
+                : Optional.empty();
+    }
+
+    /**
+     * Returns the time at which the connection was made.
+     *
+     * @return the local monotonic time in nanoseconds
+     */
+    public long openedNanos() {
+        return mOpenedNanos;
+    }
+
     /**
      * Returns whether the connection was reset.
      *
--- a/router/src/main/java/org/magnoliaseam/backend/ResponseEnd.java
+++ b/router/src/main/java/org/magnoliaseam/backend/ResponseEnd.java
@@ -7,7 +7,6 @@
 import org.eclipse.jetty.http.HttpHeaderValue;
 import org.eclipse.jetty.http.HttpMethod;
 import org.eclipse.jetty.http.HttpStatus;
-import org.eclipse.jetty.io.AbstractConnection;
 
 /**
  * Tells whether the end of a connection is the end of a response. A response without a length ends
@@ -37,13 +36,14 @@
      * @param response the response, whose header fields have arrived
      */
     public void head(Response response) {
-        if (response.getRequest().getConnection() instanceof AbstractConnection connection
-                && connection.getEndPoint() instanceof BackendEndPoint endPoint) {
-            mEndPoint = endPoint;
-            if (isLong(response.getRequest()) && endsWithConnection(response)) {
-                endPoint.confirmEnd(() -> mWritten);
-            }
-        }
+        BackendEndPoint.of(response.getRequest())
+                .ifPresent(
+                        endPoint -> {
+                            mEndPoint = endPoint;
+                            if (isLong(response.getRequest()) && endsWithConnection(response)) {
+                                endPoint.confirmEnd(() -> mWritten);
+                            }
+                        });
     }
 
     /**
--- a/router/src/main/java/org/magnoliaseam/gateway/AttemptListener.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/AttemptListener.java
@@ -6,6 +6,14 @@
 /** Receives the answer of one attempt and what the backend server states about itself with it. */
 public interface AttemptListener extends BackendListener {
 
+    /**
+     * Receives the time at which the connection of the attempt was made; called once the attempt
+     * has a connection, before {@link #head}.
+     *
+     * @param openedNanos the local monotonic time
+     */
+    default void connected(long openedNanos) {}
+
     /**
      * Receives the load that the backend server reports.
      *
--- a/router/src/main/java/org/magnoliaseam/gateway/CallPlacement.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/CallPlacement.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.magnoliaseam.backend.BackendFailure;
 import org.magnoliaseam.permit.PermitMessage;
+import org.magnoliaseam.suspect.SuspectVerdict;
 
 /**
  * Places a request on backend servers: one attempt at a time, with a wait while none has room.
@@ -45,6 +46,9 @@
     /** The latest claims at engines that were too busy for the request. */
     private final Deque<PermitMessage.Done> mClaims = new ArrayDeque<>();
 
+    /** Whether the request is refused unless it begins as a trial now. */
+    private boolean mTrial;
+
     /** The changes of the causes of crashes that the request was compared with. */
     private int mCheckedChanges;
 
@@ -199,11 +203,12 @@
      */
     private boolean isRefused() {
         mCheckedChanges = mParts.pool().crashes().changes();
-        boolean refused = mParts.pool().crashes().refuses(mCall.request());
-        if (refused) {
+        SuspectVerdict verdict = mParts.pool().crashes().check(mCall.request());
+        mTrial = verdict == SuspectVerdict.TRIAL;
+        if (verdict == SuspectVerdict.REFUSED) {
             mWait.refuseAsCrashing();
         }
-        return refused;
+        return verdict == SuspectVerdict.REFUSED;
     }
 
     /**
@@ -213,7 +218,7 @@
      * @return true if it has to end
      */
     boolean foundCrashing() {
-        return mCheckedChanges != mParts.pool().crashes().changes()
+        return (mTrial || mCheckedChanges != mParts.pool().crashes().changes())
                 && (mAttempt == null || !mAttempt.progress().hasLasted())
                 && isRefused();
     }
--- a/router/src/main/java/org/magnoliaseam/gateway/CallWait.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/CallWait.java
@@ -303,7 +303,7 @@
      */
     long retryAfterMillis() {
         if (mKind == ErrorKind.CRASHING_REQUEST) {
-            return CrashRecords.QUIET_MILLIS;
+            return CrashRecords.RETRY_AFTER_MILLIS;
         }
         double remaining = (mRequest.deadlineNanos() - mParts.clock().nanos()) / NANOS_PER_MILLI;
         double forecast = mParts.waiting().forecastMillis(mRequest);
--- a/router/src/main/java/org/magnoliaseam/gateway/CrashFeedback.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/CrashFeedback.java
@@ -1,5 +1,6 @@
 package org.magnoliaseam.gateway;
 
+import java.util.OptionalLong;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.magnoliaseam.leaving.ServerIncarnation;
 
@@ -20,6 +21,9 @@
     /** Whether other guarded requests may run at the backend server. */
     private final AtomicBoolean mGuardEnded;
 
+    /** The local monotonic time at which the connection was made; empty before. */
+    private volatile OptionalLong mOpenedNanos = OptionalLong.empty();
+
     /**
      * Creates a recorder for an attempt.
      *
@@ -43,6 +47,32 @@
         return mServer;
     }
 
+    /**
+     * Records that the attempt has a connection.
+     *
+     * @param openedNanos the local monotonic time at which it was made
+     */
+    void connected(long openedNanos) {
+        mOpenedNanos = OptionalLong.of(openedNanos);
+        mGuard.connected(mServer, openedNanos, openedNanos);
+    }
+
+    /** Records that the attempt is sent. */
+    void sent() {
+        if (!mGuardEnded.get()) {
+            mGuard.sent(mServer.id(), mRequest);
+        }
+    }
+
+    /**
+     * Records that the backend server begins its answer.
+     *
+     * @param sentNanos the local monotonic time at which the attempt was sent
+     */
+    void begun(long sentNanos) {
+        mOpenedNanos.ifPresent(opened -> mGuard.connected(mServer, opened, sentNanos));
+    }
+
     /**
      * Records that the backend server continues its answer.
      *
--- a/router/src/main/java/org/magnoliaseam/gateway/CrashGuard.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/CrashGuard.java
@@ -1,16 +1,14 @@
 package org.magnoliaseam.gateway;
 
-import java.util.Collections;
 import java.util.Comparator;
-import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import org.magnoliaseam.gossip.Membership;
+import org.magnoliaseam.gossip.PeerEndpoint;
 import org.magnoliaseam.leaving.ServerIncarnation;
-import org.magnoliaseam.membership.StableHash;
 import org.magnoliaseam.model.BackendServerId;
 import org.magnoliaseam.suspect.AnswerNotice;
 import org.magnoliaseam.suspect.CrashCause;
@@ -27,17 +25,11 @@
  */
 public final class CrashGuard {
 
-    /** The largest number of prompt parts of a request that are considered, the last ones. */
-    private static final int MAX_PARTS = 15;
-
     /**
-     * The time for which a backend server gets no guarded request after another entry VM had one
-     * there, in nanoseconds.
+     * The time that a backend server needs at least after a crash to accept connections again, in
+     * nanoseconds.
      */
-    private static final long BUSY_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
-
-    /** Selects the hash of starts of backend servers. */
-    private static final int SERVER_SEED = 5;
+    private static final long RESTART_NANOS = TimeUnit.MILLISECONDS.toNanos(1500);
 
     /** The crashes and the answers since. */
     private final CrashRecords mRecords = new CrashRecords();
@@ -48,11 +40,8 @@
     /** Logs and counts crashes and their causes. */
     private final CrashLog mLog = new CrashLog();
 
-    /** The marks of the guarded attempts in progress, by backend server. */
-    private final Map<BackendServerId, Set<RequestMark>> mRunning = new HashMap<>();
-
-    /** The local monotonic time before which a backend server gets no guarded request. */
-    private final Map<BackendServerId, Long> mNotBefore = new HashMap<>();
+    /** The guarded attempts in progress. */
+    private final GuardedRuns mRuns = new GuardedRuns();
 
     /** How often the causes in force have changed. */
     private volatile int mChanges;
@@ -95,7 +84,7 @@
 
     /** Logs the causes in force after a change of the records. */
     private void update() {
-        if (mLog.update(mRecords, mClock.nanos())) {
+        if (mLog.update(mRecords)) {
             mChanges++;
         }
     }
@@ -110,20 +99,19 @@
     }
 
     /**
-     * Returns the marks of a request: those of its shared prompt parts and its own.
+     * Sets the entry VMs, which take turns in trying requests that are refused.
      *
-     * @param request the request
-     * @return the marks
+     * @param members the entry VMs that may be alive
      */
-    private static Set<RequestMark> marks(GatewayRequest request) {
-        List<PromptPart> parts = request.prompt().sharedParts();
-        Set<RequestMark> marks = new HashSet<>();
-        for (PromptPart part : parts.subList(Math.max(0, parts.size() - MAX_PARTS), parts.size())) {
-            marks.add(RequestMark.ofPart(request.service().name().value(), part.id()));
-        }
-        String target = request.method() + " " + request.target();
-        marks.add(RequestMark.ofRequest(request.accountName(), target, request.body()));
-        return marks;
+    synchronized void members(Membership members) {
+        Comparator<PeerEndpoint> order =
+                Comparator.comparing(PeerEndpoint::host).thenComparing(PeerEndpoint::port);
+        long before =
+                members.others().stream()
+                        .filter(other -> order.compare(other, members.own()) < 0)
+                        .count();
+        int vms = Math.max(members.vms(), members.others().size() + 1);
+        mRecords.trialTurns((int) before, members.settled() ? vms : 0);
     }
 
     /**
@@ -134,28 +122,41 @@
      */
     synchronized boolean guards(GatewayRequest request) {
         return !mRecords.isEmpty()
-                && mRecords.verdict(marks(request), mClock.nanos()) == SuspectVerdict.GUARDED;
+                && mRecords.verdict(CrashMarks.of(request), mClock.nanos()) != SuspectVerdict.FREE;
     }
 
     /**
-     * Tells whether a request is refused since it crashes backend servers. If so, the cause stays
-     * in force.
+     * Tells whether a request is refused since it crashes backend servers.
      *
      * @param request the request
      * @return true if it must not be sent
      */
     synchronized boolean refuses(GatewayRequest request) {
+        return check(request) == SuspectVerdict.REFUSED;
+    }
+
+    /**
+     * Decides how a request is treated. If it is refused, the cause is not forgotten.
+     *
+     * @param request the request
+     * @return the decision; a trial while the request is one
+     */
+    synchronized SuspectVerdict check(GatewayRequest request) {
         if (mRecords.isEmpty()) {
-            return false;
+            return SuspectVerdict.FREE;
         }
         long now = mClock.nanos();
-        Optional<CrashCause> cause = mRecords.cause(marks(request), now);
-        cause.ifPresent(
-                found -> {
-                    mRecords.used(found, now);
-                    mLog.countRefusal();
-                });
-        return cause.isPresent();
+        Set<RequestMark> marks = CrashMarks.of(request);
+        SuspectVerdict verdict = mRecords.verdict(marks, now);
+        if (verdict != SuspectVerdict.REFUSED) {
+            return verdict;
+        }
+        if (mRuns.isTrial(request.id())) {
+            return SuspectVerdict.TRIAL;
+        }
+        mRecords.cause(marks).ifPresent(cause -> mRecords.used(cause, now));
+        mLog.countRefusal();
+        return verdict;
     }
 
     /**
@@ -169,18 +170,7 @@
      */
     synchronized List<BackendServerState> isolated(
             GatewayRequest request, List<BackendServerState> candidates, long now) {
-        Set<RequestMark> marks = marks(request);
-        boolean runs =
-                mRunning.values().stream().anyMatch(other -> !Collections.disjoint(other, marks));
-        mNotBefore.values().removeIf(until -> now - until >= 0);
-        return runs
-                ? List.of()
-                : candidates.stream()
-                        .filter(state -> !mRunning.containsKey(state.id()))
-                        .filter(state -> !mNotBefore.containsKey(state.id()))
-                        .filter(state -> ServerRoom.hasRoom(request, state, now))
-                        .sorted(Comparator.comparingLong(state -> state.draw(request.id(), now)))
-                        .toList();
+        return mRuns.isolated(request, CrashMarks.of(request), candidates, now);
     }
 
     /**
@@ -189,7 +179,7 @@
      * @param server the backend server
      */
     synchronized void busy(BackendServerId server) {
-        mNotBefore.put(server, mClock.nanos() + BUSY_NANOS);
+        mRuns.busy(server, mClock.nanos());
     }
 
     /**
@@ -199,9 +189,28 @@
      * @param request the request
      */
     synchronized void started(BackendServerId server, GatewayRequest request) {
-        Set<RequestMark> guarded = marks(request);
+        Set<RequestMark> guarded = CrashMarks.of(request);
         guarded.removeIf(mark -> !mRecords.isGuarded(mark));
-        mRunning.put(server, guarded);
+        mRuns.started(server, request.id(), guarded);
+    }
+
+    /**
+     * Records that a guarded attempt is sent. If such requests are refused, it is a trial, of which
+     * the other entry VMs are told at once.
+     *
+     * @param server the backend server
+     * @param request the request
+     */
+    synchronized void sent(BackendServerId server, GatewayRequest request) {
+        Optional<CrashCause> cause = mRecords.cause(CrashMarks.of(request));
+        if (cause.isPresent()) {
+            mRuns.tried(server);
+            mRecords.tried(cause.get(), mClock.nanos());
+            mReports.tried(cause.get());
+            mLog.tried(server, request.id(), cause.get());
+            mChanges++;
+            mOnCrash.run();
+        }
     }
 
     /**
@@ -210,7 +219,7 @@
      * @param server the backend server
      */
     synchronized void ended(BackendServerId server) {
-        mRunning.remove(server);
+        mRuns.ended(server);
     }
 
     /**
@@ -221,9 +230,13 @@
      * @param sentNanos the local monotonic time at which it was sent
      */
     synchronized void lost(ServerIncarnation server, GatewayRequest request, long sentNanos) {
-        Set<RequestMark> marks = marks(request);
+        Set<RequestMark> marks = CrashMarks.of(request);
         long now = mClock.nanos();
-        long hash = mRecords.crashOf(hash(server), sentNanos);
+        long start = CrashMarks.of(server);
+        if (mRecords.isUnreliable(start, now)) {
+            return;
+        }
+        long hash = mRecords.crashOf(start, sentNanos);
         Set<RequestMark> recorded = mRecords.crashed(hash, now, sentNanos, marks);
         if (!recorded.isEmpty()) {
             mReports.crashed(hash, recorded);
@@ -246,7 +259,7 @@
     synchronized boolean lasted(BackendServerId server, GatewayRequest request) {
         long now = mClock.nanos();
         boolean changed = false;
-        for (RequestMark mark : marks(request)) {
+        for (RequestMark mark : CrashMarks.of(request)) {
             Map<Long, Set<Set<RequestMark>>> reports = mRecords.lasted(mark, now);
             reports.forEach(mReports::crashedWith);
             changed |= !reports.isEmpty();
@@ -254,8 +267,7 @@
         if (changed) {
             update();
         }
-        Set<RequestMark> running = mRunning.get(server);
-        return running == null || running.stream().noneMatch(mRecords::isGuarded);
+        return mRuns.marksAt(server).stream().noneMatch(mRecords::isGuarded);
     }
 
     /**
@@ -266,7 +278,7 @@
     synchronized void answered(GatewayRequest request) {
         long now = mClock.nanos();
         boolean changed = false;
-        for (RequestMark mark : marks(request)) {
+        for (RequestMark mark : CrashMarks.of(request)) {
             if (mRecords.answered(mark, now)) {
                 mReports.answered(mark);
                 changed = true;
@@ -284,9 +296,35 @@
      * @param sentNanos the local monotonic time at which the request was sent
      */
     synchronized void answers(ServerIncarnation server, long sentNanos) {
-        long now = mClock.nanos();
-        if (!mRecords.isEmpty() && mRecords.answers(hash(server), sentNanos, now)) {
-            mReports.survived(hash(server));
+        lived(server, sentNanos, mClock.nanos());
+    }
+
+    /**
+     * Records that a backend server has accepted a connection, and answers on it.
+     *
+     * @param server the start of the backend server
+     * @param openedNanos the local monotonic time at which the connection was made
+     * @param untilNanos the local monotonic time until which the backend server is known to have
+     *     lived
+     */
+    synchronized void connected(ServerIncarnation server, long openedNanos, long untilNanos) {
+        lived(server, openedNanos - RESTART_NANOS, untilNanos);
+    }
+
+    /**
+     * Records that a backend server is known to have lived for some time.
+     *
+     * @param server the start of the backend server
+     * @param fromNanos the local monotonic time from which it is known to have lived
+     * @param toNanos the local monotonic time until which it is
+     */
+    private void lived(ServerIncarnation server, long fromNanos, long toNanos) {
+        if (mRecords.isEmpty()) {
+            return;
+        }
+        Set<Long> survived = mRecords.lived(CrashMarks.of(server), fromNanos, toNanos);
+        if (!survived.isEmpty()) {
+            survived.forEach(mReports::survived);
             mLog.survived(server);
             update();
         }
@@ -318,7 +356,7 @@
         }
         long now = mClock.nanos();
         for (long survivor : news.survivors()) {
-            if (mRecords.survived(survivor)) {
+            if (mRecords.survived(survivor, now)) {
                 mReports.survived(survivor);
             }
         }
@@ -351,14 +389,4 @@
             mOnCrash.run();
         }
     }
-
-    /**
-     * Identifies the start of a backend server in a few bytes.
-     *
-     * @param server the start of the backend server
-     * @return a hash that is the same on all entry VMs
-     */
-    private static long hash(ServerIncarnation server) {
-        return StableHash.of(server.id().value() + " " + server.startMark(), SERVER_SEED);
-    }
 }
--- a/router/src/main/java/org/magnoliaseam/gateway/CrashLog.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/CrashLog.java
@@ -7,6 +7,7 @@
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.magnoliaseam.leaving.ServerIncarnation;
+import org.magnoliaseam.model.BackendServerId;
 import org.magnoliaseam.model.RequestId;
 import org.magnoliaseam.suspect.CrashCause;
 import org.magnoliaseam.suspect.CrashRecords;
@@ -33,6 +34,9 @@
     /** The number of times that a request was refused. */
     private final LongAdder mRefused = new LongAdder();
 
+    /** The number of requests that were tried though such requests were refused. */
+    private final LongAdder mTrials = new LongAdder();
+
     /**
      * Records a request that was unanswered when its connection was lost.
      *
@@ -83,16 +87,32 @@
         mRefused.increment();
     }
 
+    /**
+     * Records that a request is tried that a cause has refused.
+     *
+     * @param server the backend server
+     * @param request the request
+     * @param cause the cause
+     */
+    void tried(BackendServerId server, RequestId request, CrashCause cause) {
+        mTrials.increment();
+        LOG.info(
+                "crash: a refused request is tried, server={} request={} crashes={} marks={}",
+                server,
+                request,
+                cause.crashes(),
+                text(cause.marks()));
+    }
+
     /**
      * Logs and counts causes that came into force, and logs those that no longer are.
      *
      * @param records the crashes
-     * @param nowNanos the local monotonic time
      * @return true if the causes in force have changed
      */
-    boolean update(CrashRecords records, long nowNanos) {
+    boolean update(CrashRecords records) {
         Set<Set<RequestMark>> inForce = new HashSet<>();
-        for (CrashCause cause : records.causesInForce(nowNanos)) {
+        for (CrashCause cause : records.causes()) {
             inForce.add(cause.marks());
             if (!mLogged.contains(cause.marks())) {
                 mCauses.increment();
@@ -155,4 +175,13 @@
     public long refused() {
         return mRefused.sum();
     }
+
+    /**
+     * Returns how many requests were tried by this entry VM though such requests were refused.
+     *
+     * @return the number since the start of the process
+     */
+    public long trials() {
+        return mTrials.sum();
+    }
 }
--- a/router/src/main/java/org/magnoliaseam/gateway/CrashReports.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/CrashReports.java
@@ -80,6 +80,15 @@
         requests.forEach(marks -> mCrashes.add(new Report(server, marks)));
     }
 
+    /**
+     * Adds the crashes of a cause again, with the time of the last trial.
+     *
+     * @param cause the cause
+     */
+    void tried(CrashCause cause) {
+        mRecords.reports(cause).forEach(this::crashedWith);
+    }
+
     /**
      * Adds a mark of an answered request.
      *
@@ -110,8 +119,8 @@
             return false;
         }
         mRenewedNanos = nowNanos;
-        for (CrashCause cause : mRecords.causesInForce(nowNanos)) {
-            mRecords.reports(cause).forEach(this::crashedWith);
+        for (CrashCause cause : mRecords.causes()) {
+            tried(cause);
         }
         return true;
     }
--- a/router/src/main/java/org/magnoliaseam/gateway/GatewayAttempt.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/GatewayAttempt.java
@@ -224,6 +224,11 @@
         return mPlacement.sending(this);
     }
 
+    @Override
+    public void connected(long openedNanos) {
+        mFeedback.connected(openedNanos);
+    }
+
     @Override
     public void load(ReportedLoad load) {
         mFeedback.load(load);
--- a/router/src/main/java/org/magnoliaseam/gateway/ServerFeedback.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/ServerFeedback.java
@@ -124,9 +124,19 @@
         }
     }
 
+    /**
+     * Records that the attempt has a connection.
+     *
+     * @param openedNanos the local monotonic time at which it was made
+     */
+    void connected(long openedNanos) {
+        mCrashes.connected(openedNanos);
+    }
+
     /** Records that the attempt is sent. */
     void sent() {
         mSentNanos = mClock.nanos();
+        mCrashes.sent();
         synchronized (mPool) {
             server().sent(mRequest);
             mSelector.started(mRequest, mStart.uncachedTokens(), mClock.nanos());
@@ -229,6 +239,7 @@
 
     /** Records that the backend server began to answer. */
     void answered() {
+        mCrashes.begun(mSentNanos);
         synchronized (mPool) {
             leavePushback(true);
             server().stated().full().accepted();
--- a/router/src/main/java/org/magnoliaseam/gateway/ServerPool.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/ServerPool.java
@@ -165,6 +165,7 @@
         mServers.settle(mClock.nanos());
         mServers.endPushbacks(mClock.nanos());
         mShares.members(members);
+        mCrashes.members(members);
         mSpillover.update(mServers, members.vms(), mClock.nanos());
     }
 
@@ -373,8 +374,7 @@
     }
 
     /**
-     * Tells whether a backend server may still get a request; called right before the first byte is
-     * sent.
+     * Tells whether a backend server may still get a request; called right before its first byte.
      *
      * @param order the attempt
      * @return true if it is published, in service, not leaving and has not asked for no requests
--- a/router/src/main/java/org/magnoliaseam/gossip/CrashNewsCodec.java
+++ b/router/src/main/java/org/magnoliaseam/gossip/CrashNewsCodec.java
@@ -30,6 +30,7 @@
             packer.packLong(crash.crashAgeMillis());
             packer.packLong(crash.sentAgeMillis());
             packer.packLong(crash.useAgeMillis());
+            packer.packLong(crash.triedAgeMillis());
             encode(crash.marks(), packer);
             encode(crash.lasted(), packer);
         }
@@ -84,8 +85,9 @@
         long crashAge = unpacker.unpackLong();
         long sentAge = unpacker.unpackLong();
         long useAge = unpacker.unpackLong();
+        long triedAge = unpacker.unpackLong();
         Set<RequestMark> marks = marks(unpacker);
-        return new CrashNotice(server, crashAge, sentAge, useAge, marks, marks(unpacker));
+        return new CrashNotice(server, crashAge, sentAge, useAge, triedAge, marks, marks(unpacker));
     }
 
     /**
--- a/router/src/main/java/org/magnoliaseam/platform/ServerExchange.java
+++ b/router/src/main/java/org/magnoliaseam/platform/ServerExchange.java
@@ -11,6 +11,7 @@
 import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.http.HttpStatus;
 import org.eclipse.jetty.io.Content;
+import org.magnoliaseam.backend.BackendEndPoint;
 import org.magnoliaseam.backend.BackendFailure;
 import org.magnoliaseam.backend.CallCancelledException;
 import org.magnoliaseam.backend.FinalStatus;
@@ -92,6 +93,8 @@
     void sending(Request request) {
         mSending = mListener.sending();
         mHeldBack = !mSending;
+        BackendEndPoint.of(request)
+                .ifPresent(endPoint -> mListener.connected(endPoint.openedNanos()));
         if (mHeldBack) {
             request.abort(new CallCancelledException());
         }
--- a/router/src/main/java/org/magnoliaseam/route/GatewayFactory.java
+++ b/router/src/main/java/org/magnoliaseam/route/GatewayFactory.java
@@ -253,6 +253,7 @@
         metrics.registerGauge("gateway.crashes.seen", crashes::crashes);
         metrics.registerGauge("gateway.crashes.causes", crashes::causes);
         metrics.registerGauge("gateway.crashes.refused", crashes::refused);
+        metrics.registerGauge("gateway.crashes.trials", crashes::trials);
     }
 
     /**
--- a/router/src/main/java/org/magnoliaseam/suspect/Crash.java
+++ b/router/src/main/java/org/magnoliaseam/suspect/Crash.java
@@ -1,9 +1,13 @@
 package org.magnoliaseam.suspect;
 
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
+import java.util.function.Function;
+import java.util.function.Predicate;
 import java.util.stream.Collectors;
 
 /** Holds the requests that were unanswered when a backend server crashed. Not thread-safe. */
@@ -21,6 +25,9 @@
     /** The local monotonic time at which the crash last had a request refused. */
     private long mUsedNanos;
 
+    /** The local monotonic time at which such a request was last tried. */
+    private long mTriedNanos;
+
     /** The local monotonic time at which each request was sent, by the marks of the request. */
     private final Map<Set<RequestMark>, Long> mRequests = new LinkedHashMap<>();
 
@@ -34,6 +41,7 @@
         mServer = server;
         mNanos = nanos;
         mUsedNanos = nanos;
+        mTriedNanos = nanos;
     }
 
     /**
@@ -130,4 +138,52 @@
     void used(long nanos) {
         mUsedNanos = nanos - mUsedNanos > 0 ? nanos : mUsedNanos;
     }
+
+    /**
+     * Returns the time at which a request that the crash had refused was last tried.
+     *
+     * @return the local monotonic time; that of the crash if none was
+     */
+    long triedNanos() {
+        return mTriedNanos;
+    }
+
+    /**
+     * Records that a request which the crash had refused is tried.
+     *
+     * @param nanos the local monotonic time
+     */
+    void tried(long nanos) {
+        mTriedNanos = nanos - mTriedNanos > 0 ? nanos : mTriedNanos;
+    }
+
+    /**
+     * Returns the latest of some times of crashes.
+     *
+     * @param crashes the crashes
+     * @param time returns the local monotonic time of a crash
+     * @return the latest time; empty if there is no crash
+     */
+    static Optional<Long> latest(Collection<Crash> crashes, Function<Crash, Long> time) {
+        return crashes.stream().map(time).max((a, b) -> Long.signum(a - b));
+    }
+
+    /**
+     * Returns the notice of an unanswered request.
+     *
+     * @param marks the marks of the request
+     * @param lasted tells whether an answer to a request with a mark has gone on for some time
+     * @param nowNanos the local monotonic time
+     * @return the notice
+     */
+    CrashNotice notice(Set<RequestMark> marks, Predicate<RequestMark> lasted, long nowNanos) {
+        return new CrashNotice(
+                mServer,
+                Ages.millis(mNanos, nowNanos),
+                Ages.millis(mRequests.get(marks), nowNanos),
+                Ages.millis(mUsedNanos, nowNanos),
+                Ages.millis(mTriedNanos, nowNanos),
+                marks,
+                marks.stream().filter(lasted).collect(Collectors.toUnmodifiableSet()));
+    }
 }
--- a/router/src/main/java/org/magnoliaseam/suspect/CrashAnalysis.java
+++ b/router/src/main/java/org/magnoliaseam/suspect/CrashAnalysis.java
@@ -169,7 +169,9 @@
         MarkedRequests requests = mMarks.get(mark);
         Set<Long> servers = new HashSet<>();
         requests.mCrashes.stream().forEach(crash -> servers.add(mCrashes.get(crash).server()));
-        mCauses.add(new CrashCause(Set.copyOf(requests.mCommon), servers, count(mark, false)));
+        int crashes = count(mark, false);
+        int further = Math.max(0, crashes - Math.max(CERTAIN_CRASHES, crashesToCause(mark)));
+        mCauses.add(new CrashCause(Set.copyOf(requests.mCommon), servers, crashes, further));
         mExplained.or(requests.mCrashes);
         mGuarded.addAll(requests.mCommon);
     }
--- a/router/src/main/java/org/magnoliaseam/suspect/CrashCause.java
+++ b/router/src/main/java/org/magnoliaseam/suspect/CrashCause.java
@@ -11,8 +11,10 @@
  *     caused them
  * @param servers the hashes of the starts of the backend servers that crashed
  * @param crashes the crashes that count: those by requests that were sent after the one before
+ * @param furtherCrashes those of them that came after the cause was certain
  */
-public record CrashCause(Set<RequestMark> marks, Set<Long> servers, int crashes) {
+public record CrashCause(
+        Set<RequestMark> marks, Set<Long> servers, int crashes, int furtherCrashes) {
 
     /**
      * Tells whether a request has all marks of the cause.
--- a/router/src/main/java/org/magnoliaseam/suspect/CrashNotice.java
+++ b/router/src/main/java/org/magnoliaseam/suspect/CrashNotice.java
@@ -11,6 +11,8 @@
  * @param sentAgeMillis the time since the request was sent in milliseconds
  * @param useAgeMillis the time since the notice last had a request refused, or since the crash, in
  *     milliseconds
+ * @param triedAgeMillis the time since a request was last tried though it was refused, or since the
+ *     crash, in milliseconds
  * @param marks the marks of the request that no answered request has had since
  * @param lasted those of these marks with which an answer has gone on for some time
  */
@@ -19,5 +21,6 @@
         long crashAgeMillis,
         long sentAgeMillis,
         long useAgeMillis,
+        long triedAgeMillis,
         Set<RequestMark> marks,
         Set<RequestMark> lasted) {}
--- a/router/src/main/java/org/magnoliaseam/suspect/CrashRecords.java
+++ b/router/src/main/java/org/magnoliaseam/suspect/CrashRecords.java
@@ -1,8 +1,7 @@
 package org.magnoliaseam.suspect;
 
-import java.util.ArrayList;
 import java.util.Collection;
-import java.util.LinkedHashSet;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -17,11 +16,8 @@
  */
 public final class CrashRecords {
 
-    /**
-     * The time without such requests after which one is tried again, in milliseconds; what a
-     * refused caller is told to wait.
-     */
-    public static final long QUIET_MILLIS = 60_000;
+    /** The time that a refused caller is told to wait, in milliseconds. */
+    public static final long RETRY_AFTER_MILLIS = 60_000;
 
     /** The largest number of crashes to keep; the one that is unused the longest is dropped. */
     public static final int MAX_CRASHES = 64;
@@ -29,13 +25,10 @@
     /** The time without such requests after which a crash is forgotten, in nanoseconds. */
     private static final long RETENTION_NANOS = TimeUnit.MINUTES.toNanos(10);
 
-    /** The crashes after which requests are no longer tried again. */
-    private static final int FINAL_CRASHES = 6;
-
-    /** The largest number of starts that have survived to keep. */
-    private static final int MAX_SURVIVORS = 256;
-
-    /** The time for which answers may still arrive after a crash, in nanoseconds. */
+    /**
+     * The time after a crash for which answers may still arrive and connections be made, in
+     * nanoseconds.
+     */
     private static final long CRASH_SLACK_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
 
     /** The crashes. */
@@ -48,11 +41,24 @@
     private final AnsweredMarks mLasted = new AnsweredMarks();
 
     /** The starts of backend servers that have not crashed. */
-    private final Set<Long> mSurvivors = new LinkedHashSet<>();
+    private final SurvivedStarts mSurvived = new SurvivedStarts();
+
+    /** Decides when refused requests are tried. */
+    private final TrialSchedule mTrials = new TrialSchedule();
 
     /** What explains the crashes; null if they have changed. */
     private CrashAnalysis mAnalysis;
 
+    /**
+     * Sets the turns in which the entry VMs try requests that are refused.
+     *
+     * @param rank the number of turns of other entry VMs before the one of this entry VM
+     * @param vms the number of entry VMs that take turns; 0 if this entry VM takes none
+     */
+    public void trialTurns(int rank, int vms) {
+        mTrials.turns(rank, vms);
+    }
+
     /**
      * Identifies the crash at which a request was lost. A request that was sent after a recorded
      * crash was lost at another one, also if the backend server is not published anew, as during an
@@ -81,7 +87,7 @@
                 marks.stream()
                         .filter(mark -> !mAnswered.contains(mark))
                         .collect(Collectors.toUnmodifiableSet());
-        if (candidates.isEmpty() || mSurvivors.contains(server)) {
+        if (candidates.isEmpty() || isUnreliable(server, crashNanos)) {
             return Set.of();
         }
         if (!mCrashes.add(server, crashNanos, candidates, sentNanos)) {
@@ -142,39 +148,51 @@
     }
 
     /**
-     * Records that a backend server answers a request that it got before its recorded crash.
+     * Tells whether a connection lost at a backend server is no evidence of a crash.
      *
      * @param server the hash of the start of the backend server
-     * @param sentNanos the local monotonic time at which the request was sent
-     * @param nowNanos the local monotonic time
-     * @return true if the backend server has not crashed, though it was recorded
+     * @param nanos the local monotonic time at which it was lost
+     * @return true shortly after the start has lived on though connections were lost
      */
-    public boolean answers(long server, long sentNanos, long nowNanos) {
-        boolean survived =
-                mCrashes.crash(server)
-                        .filter(crash -> crash.nanos() - sentNanos > 0)
-                        .filter(crash -> nowNanos - crash.nanos() > CRASH_SLACK_NANOS)
-                        .isPresent();
-        return survived && survived(server);
+    public boolean isUnreliable(long server, long nanos) {
+        return mSurvived.isUnreliable(server, nanos);
     }
 
     /**
-     * Records that a backend server has not crashed, though connections to it were lost.
+     * Records that a start of a backend server is known to have lived for some time.
      *
-     * @param server the hash of the start of the backend server
-     * @return true if it was not known
+     * @param server the hash of the start
+     * @param fromNanos the local monotonic time from which it is known to have lived
+     * @param toNanos the local monotonic time until which it is
+     * @return the hashes of the recorded crashes that did not happen, with the one of the start
+     *     unless an earlier crash stands under it; empty if there are none
      */
-    public boolean survived(long server) {
-        if (!mSurvivors.add(server)) {
-            return false;
+    public Set<Long> lived(long server, long fromNanos, long toNanos) {
+        List<Long> refuted = mCrashes.refuted(server, fromNanos, toNanos - CRASH_SLACK_NANOS);
+        if (refuted.isEmpty()) {
+            return Set.of();
         }
-        if (mSurvivors.size() > MAX_SURVIVORS) {
-            mSurvivors.remove(mSurvivors.iterator().next());
+        Set<Long> survived = new HashSet<>(refuted);
+        if (mCrashes.crash(server).isEmpty()) {
+            survived.add(server);
         }
+        survived.forEach(hash -> survived(hash, toNanos));
+        return survived;
+    }
+
+    /**
+     * Records that a backend server has not crashed, though connections to it were lost.
+     *
+     * @param server the hash of the start of the backend server, or of a crash of it
+     * @param nanos the local monotonic time at which it is known to live
+     * @return true if it was not known
+     */
+    public boolean survived(long server, long nanos) {
+        boolean added = mSurvived.add(server, nanos);
         if (mCrashes.remove(server)) {
             mAnalysis = null;
         }
-        return true;
+        return added;
     }
 
     /**
@@ -185,8 +203,11 @@
      * @return the decision
      */
     public SuspectVerdict verdict(Collection<RequestMark> marks, long nowNanos) {
-        if (cause(marks, nowNanos).isPresent()) {
-            return SuspectVerdict.REFUSED;
+        Optional<CrashCause> cause = cause(marks);
+        if (cause.isPresent()) {
+            return isTrialDue(cause.get(), nowNanos)
+                    ? SuspectVerdict.TRIAL
+                    : SuspectVerdict.REFUSED;
         }
         return marks.stream().anyMatch(analysis()::isGuarded)
                 ? SuspectVerdict.GUARDED
@@ -194,20 +215,17 @@
     }
 
     /**
-     * Finds the cause for which a request is refused now.
+     * Finds the cause for which a request is refused, but for trials.
      *
      * @param marks the marks of the request
-     * @param nowNanos the local monotonic time
      * @return the cause; empty if the request may run
      */
-    public Optional<CrashCause> cause(Collection<RequestMark> marks, long nowNanos) {
-        return analysis().causes().stream()
-                .filter(cause -> cause.matches(marks) && isInForce(cause, nowNanos))
-                .findFirst();
+    public Optional<CrashCause> cause(Collection<RequestMark> marks) {
+        return causes().stream().filter(cause -> cause.matches(marks)).findFirst();
     }
 
     /**
-     * Records that a cause had a request refused, which keeps it in force.
+     * Records that a cause had a request refused, which keeps it from being forgotten.
      *
      * @param cause the cause
      * @param nanos the local monotonic time
@@ -216,14 +234,23 @@
         crashes(cause).forEach(crash -> crash.used(nanos));
     }
 
+    /**
+     * Records that a request is tried that a cause has refused.
+     *
+     * @param cause the cause
+     * @param nanos the local monotonic time
+     */
+    public void tried(CrashCause cause, long nanos) {
+        crashes(cause).forEach(crash -> crash.tried(nanos));
+    }
+
     /**
      * Returns the causes that have requests refused.
      *
-     * @param nowNanos the local monotonic time
      * @return the causes
      */
-    public List<CrashCause> causesInForce(long nowNanos) {
-        return analysis().causes().stream().filter(cause -> isInForce(cause, nowNanos)).toList();
+    public List<CrashCause> causes() {
+        return analysis().causes();
     }
 
     /**
@@ -252,12 +279,9 @@
      * @param nowNanos the local monotonic time
      */
     public void expire(long nowNanos) {
-        for (CrashCause cause : analysis().causes()) {
-            List<Crash> crashes = crashes(cause);
-            crashes.stream()
-                    .map(Crash::usedNanos)
-                    .max((a, b) -> Long.signum(a - b))
-                    .ifPresent(latest -> crashes.forEach(crash -> crash.used(latest)));
+        for (CrashCause cause : causes()) {
+            Crash.latest(crashes(cause), Crash::usedNanos)
+                    .ifPresent(latest -> crashes(cause).forEach(crash -> crash.used(latest)));
         }
         if (mCrashes.expire(nowNanos, RETENTION_NANOS)) {
             mAnalysis = null;
@@ -285,17 +309,7 @@
     public Optional<CrashNotice> notice(long server, Set<RequestMark> marks, long nowNanos) {
         return mCrashes.crash(server)
                 .filter(crash -> crash.sentNanos(marks) != null)
-                .map(
-                        crash ->
-                                new CrashNotice(
-                                        server,
-                                        Ages.millis(crash.nanos(), nowNanos),
-                                        Ages.millis(crash.sentNanos(marks), nowNanos),
-                                        Ages.millis(crash.usedNanos(), nowNanos),
-                                        marks,
-                                        marks.stream()
-                                                .filter(this::hasLasted)
-                                                .collect(Collectors.toUnmodifiableSet())));
+                .map(crash -> crash.notice(marks, this::hasLasted, nowNanos));
     }
 
     /**
@@ -316,8 +330,11 @@
                         Ages.nanos(notice.crashAgeMillis(), nowNanos),
                         Ages.nanos(notice.sentAgeMillis(), nowNanos),
                         notice.marks());
-        mCrashes.crash(notice.server())
-                .ifPresent(crash -> crash.used(Ages.nanos(notice.useAgeMillis(), nowNanos)));
+        Optional<Crash> crash = mCrashes.crash(notice.server());
+        if (crash.isPresent()) {
+            crash.get().used(Ages.nanos(notice.useAgeMillis(), nowNanos));
+            crash.get().tried(Ages.nanos(notice.triedAgeMillis(), nowNanos));
+        }
         return news ? notice.marks() : recorded;
     }
 
@@ -346,17 +363,14 @@
     }
 
     /**
-     * Tells whether a cause has requests refused.
+     * Tells whether this entry VM may try a request that a cause has refused.
      *
      * @param cause the cause
      * @param nowNanos the local monotonic time
-     * @return false if no such request has come for a while and one may be tried
+     * @return true if a trial is due and this entry VM has its turn
      */
-    private boolean isInForce(CrashCause cause, long nowNanos) {
-        long quietNanos = TimeUnit.MILLISECONDS.toNanos(QUIET_MILLIS);
-        return cause.crashes() >= FINAL_CRASHES
-                || crashes(cause).stream()
-                        .anyMatch(crash -> nowNanos - crash.usedNanos() <= quietNanos);
+    private boolean isTrialDue(CrashCause cause, long nowNanos) {
+        return mTrials.isDue(cause, crashes(cause), nowNanos);
     }
 
     /**
@@ -366,11 +380,7 @@
      * @return the crashes that are still recorded
      */
     private List<Crash> crashes(CrashCause cause) {
-        List<Crash> crashes = new ArrayList<>();
-        for (long server : cause.servers()) {
-            mCrashes.crash(server).ifPresent(crashes::add);
-        }
-        return crashes;
+        return cause.servers().stream().map(mCrashes::crash).flatMap(Optional::stream).toList();
     }
 
     /**
--- a/router/src/main/java/org/magnoliaseam/suspect/CrashTable.java
+++ b/router/src/main/java/org/magnoliaseam/suspect/CrashTable.java
@@ -1,7 +1,9 @@
 package org.magnoliaseam.suspect;
 
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -11,6 +13,9 @@
 /** Holds the recorded crashes of backend servers. Not thread-safe. */
 final class CrashTable {
 
+    /** The largest number of crashes of one start that are looked for. */
+    private static final int MAX_CRASHES_OF_START = 8;
+
     /** The largest number of crashes to keep; the one that is unused the longest is dropped. */
     private final int mMaxCrashes;
 
@@ -44,6 +49,27 @@
         return hash;
     }
 
+    /**
+     * Finds the crashes of a start that fall into a time at which it is known to have lived.
+     *
+     * @param server the hash of the start of the backend server
+     * @param fromNanos the local monotonic time from which it is known to have lived
+     * @param toNanos the local monotonic time until which it is
+     * @return the hashes that the crashes are recorded under
+     */
+    List<Long> refuted(long server, long fromNanos, long toNanos) {
+        List<Long> refuted = new ArrayList<>();
+        long hash = server;
+        for (int i = 0; i < MAX_CRASHES_OF_START; i++) {
+            Crash crash = mCrashes.get(hash);
+            if (crash != null && crash.nanos() - fromNanos > 0 && toNanos - crash.nanos() > 0) {
+                refuted.add(hash);
+            }
+            hash = nextHash(hash);
+        }
+        return refuted;
+    }
+
     /**
      * Returns the hash of the next crash of the same start.
      *
--- a/router/src/main/java/org/magnoliaseam/suspect/SuspectVerdict.java
+++ b/router/src/main/java/org/magnoliaseam/suspect/SuspectVerdict.java
@@ -9,6 +9,8 @@
      * other guarded requests.
      */
     GUARDED,
+    /** The request is expected to crash a backend server; one may run isolated as a trial. */
+    TRIAL,
     /** The request ran during two or more crashes and is refused. */
     REFUSED
 }
--- a/router/src/test/java/org/magnoliaseam/gossip/GossipTest.java
+++ b/router/src/test/java/org/magnoliaseam/gossip/GossipTest.java
@@ -64,6 +64,7 @@
                                         30,
                                         150,
                                         20,
+                                        25,
                                         Set.of(
                                                 new RequestMark(Long.MIN_VALUE + 1),
                                                 new RequestMark(4)),
--- a/router/src/test/java/org/magnoliaseam/platform/AttemptFixture.java
+++ b/router/src/test/java/org/magnoliaseam/platform/AttemptFixture.java
@@ -34,12 +34,23 @@
     /** Records how an attempt ended. */
     static final class RecordingListener implements AttemptListener {
         private final CompletableFuture<String> mEnd = new CompletableFuture<>();
+        private final CompletableFuture<Long> mOpenedNanos = new CompletableFuture<>();
 
         /** Returns "complete" or the name of the failure, once the attempt has ended. */
         CompletableFuture<String> end() {
             return mEnd;
         }
 
+        /** Returns the time at which the connection of the attempt was made. */
+        CompletableFuture<Long> openedNanos() {
+            return mOpenedNanos;
+        }
+
+        @Override
+        public void connected(long openedNanos) {
+            mOpenedNanos.complete(openedNanos);
+        }
+
         @Override
         public boolean sending() {
             return true;
