Count copies that crash servers of several failure domains at once

Cause: a crash counts towards a mark only if a request with it was sent after the crash before, so that a failure of power counts once. All copies of one wave were sent before its first crash.

Change: crashes of one moment count towards a whole request once for each failure domain. Crashes and their notices name the domain by a hash (format of digests 12). Prompt parts count as before.

Why it works: a failure of power ends one domain, while copies at servers of several domains that end at once have the request in common.

Tests: CrashRecordsTest.copiesThatEndServersOfSeveralDomainsAtOnceCount- OnceForEachDomain fails without the count (trial) and passes with it; copiesInADomainThatLosesPowerCountOnce holds in both. The calls of the older tests name a domain; their checks are the same.

--- a/router/src/main/java/org/magnoliaseam/gateway/CrashFeedback.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/CrashFeedback.java
@@ -3,6 +3,7 @@
 import java.util.OptionalLong;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.magnoliaseam.leaving.ServerIncarnation;
+import org.magnoliaseam.model.FailureDomain;
 
 /**
  * Records what one attempt shows about whether its request crashes backend servers. Thread-safe.
@@ -15,6 +16,9 @@
     /** The start of the backend server that was published when the attempt began. */
     private final ServerIncarnation mServer;
 
+    /** The failure domain of the backend server. */
+    private final FailureDomain mDomain;
+
     /** The request. */
     private final GatewayRequest mRequest;
 
@@ -34,6 +38,7 @@
     CrashFeedback(CrashGuard guard, ServerChoice.Start start, GatewayRequest request) {
         mGuard = guard;
         mServer = new ServerIncarnation(start.server().id(), start.entry().startMark());
+        mDomain = start.entry().failureDomain();
         mRequest = request;
         mGuardEnded = new AtomicBoolean(!start.guarded());
     }
@@ -101,7 +106,7 @@
      * @param sentNanos the local monotonic time at which the attempt was sent
      */
     void lost(long sentNanos) {
-        mGuard.lost(mServer, mRequest, sentNanos);
+        mGuard.lost(mServer, mDomain, mRequest, sentNanos);
     }
 
     /** Lets other guarded requests run at the backend server. */
--- a/router/src/main/java/org/magnoliaseam/gateway/CrashGuard.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/CrashGuard.java
@@ -10,6 +10,7 @@
 import org.magnoliaseam.gossip.PeerEndpoint;
 import org.magnoliaseam.leaving.ServerIncarnation;
 import org.magnoliaseam.model.BackendServerId;
+import org.magnoliaseam.model.FailureDomain;
 import org.magnoliaseam.suspect.AnswerNotice;
 import org.magnoliaseam.suspect.CrashCause;
 import org.magnoliaseam.suspect.CrashNews;
@@ -226,10 +227,15 @@
      * Records that a backend server may have crashed before its answer to a request was complete.
      *
      * @param server the start of the backend server
+     * @param domain its failure domain
      * @param request the request
      * @param sentNanos the local monotonic time at which it was sent
      */
-    synchronized void lost(ServerIncarnation server, GatewayRequest request, long sentNanos) {
+    synchronized void lost(
+            ServerIncarnation server,
+            FailureDomain domain,
+            GatewayRequest request,
+            long sentNanos) {
         Set<RequestMark> marks = CrashMarks.of(request);
         long now = mClock.nanos();
         long start = CrashMarks.of(server);
@@ -237,7 +243,8 @@
             return;
         }
         long hash = mRecords.crashOf(start, sentNanos);
-        Set<RequestMark> recorded = mRecords.crashed(hash, now, sentNanos, marks);
+        Set<RequestMark> recorded =
+                mRecords.crashed(hash, CrashMarks.of(domain), now, sentNanos, marks);
         if (!recorded.isEmpty()) {
             mReports.crashed(hash, recorded);
             long lasted = recorded.stream().filter(mRecords::hasLasted).count();
--- a/router/src/main/java/org/magnoliaseam/gateway/CrashMarks.java
+++ b/router/src/main/java/org/magnoliaseam/gateway/CrashMarks.java
@@ -5,6 +5,7 @@
 import java.util.Set;
 import org.magnoliaseam.leaving.ServerIncarnation;
 import org.magnoliaseam.membership.StableHash;
+import org.magnoliaseam.model.FailureDomain;
 import org.magnoliaseam.suspect.RequestMark;
 
 /** Identifies requests and starts of backend servers in the records of crashes. */
@@ -16,6 +17,9 @@
     /** Selects the hash of starts of backend servers. */
     private static final int SERVER_SEED = 5;
 
+    /** Selects the hash of failure domains. */
+    private static final int DOMAIN_SEED = 6;
+
     /** Prevents instances of this utility class. */
     private CrashMarks() {}
 
@@ -45,4 +49,14 @@
     static long of(ServerIncarnation server) {
         return StableHash.of(server.id().value() + " " + server.startMark(), SERVER_SEED);
     }
+
+    /**
+     * Identifies a failure domain in a few bytes.
+     *
+     * @param domain the failure domain
+     * @return a hash that is the same on all entry VMs
+     */
+    static long of(FailureDomain domain) {
+        return StableHash.of(domain.value(), DOMAIN_SEED);
+    }
 }
--- a/router/src/main/java/org/magnoliaseam/gossip/CrashNewsCodec.java
+++ b/router/src/main/java/org/magnoliaseam/gossip/CrashNewsCodec.java
@@ -27,6 +27,7 @@
         packer.packArrayHeader(news.crashes().size());
         for (CrashNotice crash : news.crashes()) {
             packer.packLong(crash.server());
+            packer.packLong(crash.domain());
             packer.packLong(crash.crashAgeMillis());
             packer.packLong(crash.sentAgeMillis());
             packer.packLong(crash.useAgeMillis());
@@ -82,12 +83,14 @@
      */
     private static CrashNotice crash(MessageUnpacker unpacker) throws IOException {
         long server = unpacker.unpackLong();
+        long domain = unpacker.unpackLong();
         long crashAge = unpacker.unpackLong();
         long sentAge = unpacker.unpackLong();
         long useAge = unpacker.unpackLong();
         long triedAge = unpacker.unpackLong();
         Set<RequestMark> marks = marks(unpacker);
-        return new CrashNotice(server, crashAge, sentAge, useAge, triedAge, marks, marks(unpacker));
+        return new CrashNotice(
+                server, domain, crashAge, sentAge, useAge, triedAge, marks, marks(unpacker));
     }
 
     /**
--- a/router/src/main/java/org/magnoliaseam/gossip/DigestCodec.java
+++ b/router/src/main/java/org/magnoliaseam/gossip/DigestCodec.java
@@ -19,7 +19,7 @@
      * The version of the format. It differs from those of all other datagrams of the peer port,
      * which are told apart by their first byte.
      */
-    private static final int FORMAT = 11;
+    private static final int FORMAT = 12;
 
     /** The largest number of elements in a list. */
     private static final int MAX_ELEMENTS = 4096;
--- a/router/src/main/java/org/magnoliaseam/suspect/Crash.java
+++ b/router/src/main/java/org/magnoliaseam/suspect/Crash.java
@@ -19,6 +19,9 @@
     /** The hash of the start of the backend server. */
     private final long mServer;
 
+    /** The hash of the failure domain of the backend server. */
+    private final long mDomain;
+
     /** The local monotonic time of the crash. */
     private final long mNanos;
 
@@ -35,10 +38,12 @@
      * Creates a crash without requests.
      *
      * @param server the hash of the start of the backend server
+     * @param domain the hash of the failure domain of the backend server
      * @param nanos the local monotonic time of the crash
      */
-    Crash(long server, long nanos) {
+    Crash(long server, long domain, long nanos) {
         mServer = server;
+        mDomain = domain;
         mNanos = nanos;
         mUsedNanos = nanos;
         mTriedNanos = nanos;
@@ -112,6 +117,15 @@
         return mServer;
     }
 
+    /**
+     * Returns the hash of the failure domain of the backend server.
+     *
+     * @return the hash
+     */
+    long domain() {
+        return mDomain;
+    }
+
     /**
      * Returns the time of the crash.
      *
@@ -179,6 +193,7 @@
     CrashNotice notice(Set<RequestMark> marks, Predicate<RequestMark> lasted, long nowNanos) {
         return new CrashNotice(
                 mServer,
+                mDomain,
                 Ages.millis(mNanos, nowNanos),
                 Ages.millis(mRequests.get(marks), nowNanos),
                 Ages.millis(mUsedNanos, nowNanos),
--- a/router/src/main/java/org/magnoliaseam/suspect/CrashAnalysis.java
+++ b/router/src/main/java/org/magnoliaseam/suspect/CrashAnalysis.java
@@ -16,8 +16,9 @@
  * Finds what explains crashes of backend servers. A mark is a candidate at a crash if a request
  * with it was unanswered there and none is known to have been answered. Crashes count towards a
  * mark if a request with it was sent after the crash counted before; servers that end at the same
- * moment, as when a failure domain loses power, thus count once. Crashes that one cause explains do
- * not count towards other marks.
+ * moment, as when a failure domain loses power, thus count once; but copies of a whole request that
+ * end servers of several failure domains at one moment count once for each. Crashes that one cause
+ * explains do not count towards other marks.
  *
  * <p>A mark has lasted if an answer to a request with it has gone on for some time. Long sound
  * answers are in progress at many crashes, so such marks need more crashes.
@@ -240,7 +241,8 @@
     }
 
     /**
-     * Counts the crashes with a mark, each by a request that was sent after the one before.
+     * Counts the crashes with a mark, each by a request that was sent after the one before, or by a
+     * copy of it in another failure domain.
      *
      * @param mark the mark
      * @param unexplained whether to leave out crashes that a cause explains
@@ -251,10 +253,16 @@
         BitSet crashes = unexplained ? unexplained(requests) : requests.mCrashes;
         int count = 0;
         long last = 0;
+        Set<Long> domains = new HashSet<>();
         for (int i = crashes.nextSetBit(0); i >= 0; i = crashes.nextSetBit(i + 1)) {
+            Crash crash = mCrashes.get(i);
             if (count == 0 || requests.mSentNanos.get(i) - last >= 0) {
                 count++;
-                last = mCrashes.get(i).nanos();
+                last = crash.nanos();
+                domains.clear();
+                domains.add(crash.domain());
+            } else if (mark.isWholeRequest() && domains.add(crash.domain())) {
+                count++;
             }
         }
         return count;
--- a/router/src/main/java/org/magnoliaseam/suspect/CrashNotice.java
+++ b/router/src/main/java/org/magnoliaseam/suspect/CrashNotice.java
@@ -7,6 +7,7 @@
  * are used since the clocks of entry VMs differ.
  *
  * @param server the hash of the start of the backend server
+ * @param domain the hash of the failure domain of the backend server
  * @param crashAgeMillis the time since the crash in milliseconds
  * @param sentAgeMillis the time since the request was sent in milliseconds
  * @param useAgeMillis the time since the notice last had a request refused, or since the crash, in
@@ -18,6 +19,7 @@
  */
 public record CrashNotice(
         long server,
+        long domain,
         long crashAgeMillis,
         long sentAgeMillis,
         long useAgeMillis,
--- a/router/src/main/java/org/magnoliaseam/suspect/CrashRecords.java
+++ b/router/src/main/java/org/magnoliaseam/suspect/CrashRecords.java
@@ -76,13 +76,18 @@
      * Records a request that was unanswered when a backend server crashed.
      *
      * @param server the hash of the start of the backend server
+     * @param domain the hash of its failure domain
      * @param crashNanos the local monotonic time of the crash
      * @param sentNanos the local monotonic time at which the request was sent
      * @param marks the marks of the request
      * @return the marks that may have caused the crash; empty if nothing new was recorded
      */
     public Set<RequestMark> crashed(
-            long server, long crashNanos, long sentNanos, Collection<RequestMark> marks) {
+            long server,
+            long domain,
+            long crashNanos,
+            long sentNanos,
+            Collection<RequestMark> marks) {
         Set<RequestMark> candidates =
                 marks.stream()
                         .filter(mark -> !mAnswered.contains(mark))
@@ -90,7 +95,7 @@
         if (candidates.isEmpty() || isUnreliable(server, crashNanos)) {
             return Set.of();
         }
-        if (!mCrashes.add(server, crashNanos, candidates, sentNanos)) {
+        if (!mCrashes.add(server, domain, crashNanos, candidates, sentNanos)) {
             return Set.of();
         }
         mAnalysis = null;
@@ -205,7 +210,7 @@
     public SuspectVerdict verdict(Collection<RequestMark> marks, long nowNanos) {
         Optional<CrashCause> cause = cause(marks);
         if (cause.isPresent()) {
-            return isTrialDue(cause.get(), nowNanos)
+            return mTrials.isDue(cause.get(), crashes(cause.get()), nowNanos)
                     ? SuspectVerdict.TRIAL
                     : SuspectVerdict.REFUSED;
         }
@@ -327,6 +332,7 @@
         Set<RequestMark> recorded =
                 crashed(
                         notice.server(),
+                        notice.domain(),
                         Ages.nanos(notice.crashAgeMillis(), nowNanos),
                         Ages.nanos(notice.sentAgeMillis(), nowNanos),
                         notice.marks());
@@ -362,17 +368,6 @@
         return answered(notice.mark(), Ages.nanos(notice.ageMillis(), nowNanos));
     }
 
-    /**
-     * Tells whether this entry VM may try a request that a cause has refused.
-     *
-     * @param cause the cause
-     * @param nowNanos the local monotonic time
-     * @return true if a trial is due and this entry VM has its turn
-     */
-    private boolean isTrialDue(CrashCause cause, long nowNanos) {
-        return mTrials.isDue(cause, crashes(cause), nowNanos);
-    }
-
     /**
      * Returns the crashes that a cause explains.
      *
--- a/router/src/main/java/org/magnoliaseam/suspect/CrashTable.java
+++ b/router/src/main/java/org/magnoliaseam/suspect/CrashTable.java
@@ -84,13 +84,14 @@
      * Adds an unanswered request.
      *
      * @param server the hash to record the crash under
+     * @param domain the hash of the failure domain of the backend server
      * @param crashNanos the local monotonic time of the crash
      * @param marks the marks of the request
      * @param sentNanos the local monotonic time at which the request was sent
      * @return false if it is known already or there are too many
      */
-    boolean add(long server, long crashNanos, Set<RequestMark> marks, long sentNanos) {
-        Crash crash = mCrashes.computeIfAbsent(server, hash -> new Crash(hash, crashNanos));
+    boolean add(long server, long domain, long crashNanos, Set<RequestMark> marks, long sentNanos) {
+        Crash crash = mCrashes.computeIfAbsent(server, hash -> new Crash(hash, domain, crashNanos));
         if (!crash.add(marks, sentNanos)) {
             return false;
         }
--- a/router/src/test/java/org/magnoliaseam/gateway/CrashGuardCallTest.java
+++ b/router/src/test/java/org/magnoliaseam/gateway/CrashGuardCallTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.magnoliaseam.gateway.GatewayFixtures.MILLI;
+import static org.magnoliaseam.gateway.GatewayFixtures.OWN_DOMAIN;
 import static org.magnoliaseam.gateway.GatewayFixtures.route;
 import static org.magnoliaseam.gateway.GatewayFixtures.server;
 
@@ -80,6 +81,7 @@
                 mNow.addAndGet(50 * MILLI);
                 elsewhere.lost(
                         new ServerIncarnation(new BackendServerId("x" + i), 1),
+                        OWN_DOMAIN,
                         request("o" + i, "crashing"),
                         mNow.get() - MILLI);
             }
@@ -163,7 +165,7 @@
                 mNow.addAndGet(200 * MILLI);
                 ServerIncarnation server =
                         new ServerIncarnation(new BackendServerId("x" + crash), 1);
-                here.lost(server, usual, mNow.get() - MILLI);
+                here.lost(server, OWN_DOMAIN, usual, mNow.get() - MILLI);
             }
             assertThat(here.refuses(usual)).isTrue();
             there.heard(here.news(3));
@@ -181,9 +183,9 @@
                         new ServerIncarnation(new BackendServerId("x" + crash), 1);
                 for (int i = 0; i < 15; i++) {
                     String id = crash + "-" + i;
-                    here.lost(server, request(id, "part" + id), mNow.get() - MILLI);
+                    here.lost(server, OWN_DOMAIN, request(id, "part" + id), mNow.get() - MILLI);
                 }
-                here.lost(server, request("c" + crash, "crashing"), mNow.get() - MILLI);
+                here.lost(server, OWN_DOMAIN, request("c" + crash, "crashing"), mNow.get() - MILLI);
             }
             there.heard(here.news(3));
             assertThat(there.refuses(request("c9", "crashing"))).isTrue();
--- a/router/src/test/java/org/magnoliaseam/gossip/EarlyDigestTest.java
+++ b/router/src/test/java/org/magnoliaseam/gossip/EarlyDigestTest.java
@@ -28,7 +28,9 @@
 
     private static final CrashNews NEWS =
             new CrashNews(
-                    List.of(new CrashNotice(1, 2, 3, 4, 5, Set.of(new RequestMark(6)), Set.of())),
+                    List.of(
+                            new CrashNotice(
+                                    1, 9, 2, 3, 4, 5, Set.of(new RequestMark(6)), Set.of())),
                     List.of(),
                     List.of());
 
--- a/router/src/test/java/org/magnoliaseam/gossip/GossipTest.java
+++ b/router/src/test/java/org/magnoliaseam/gossip/GossipTest.java
@@ -61,6 +61,7 @@
                         List.of(
                                 new CrashNotice(
                                         -4,
+                                        -7,
                                         30,
                                         150,
                                         20,
--- a/router/src/test/java/org/magnoliaseam/suspect/CrashRecordsFixture.java
+++ b/router/src/test/java/org/magnoliaseam/suspect/CrashRecordsFixture.java
@@ -6,6 +6,7 @@
 /** Holds records of crashes that a test fills. */
 abstract class CrashRecordsFixture {
 
+    static final long DOMAIN = 1;
     static final RequestMark BASE = part("base");
     static final RequestMark ACCOUNT = part("account");
     static final RequestMark CRASHING = part("crashing");
@@ -26,7 +27,12 @@
     }
 
     void crash(long server, long crashMillis, RequestMark... marks) {
-        mRecords.crashed(server, millis(crashMillis), millis(crashMillis - 100), List.of(marks));
+        crashIn(DOMAIN, server, crashMillis, marks);
+    }
+
+    void crashIn(long domain, long server, long crashMillis, RequestMark... marks) {
+        mRecords.crashed(
+                server, domain, millis(crashMillis), millis(crashMillis - 100), List.of(marks));
     }
 
     SuspectVerdict verdict(long nowMillis, RequestMark... marks) {
--- a/router/src/test/java/org/magnoliaseam/suspect/CrashRecordsTest.java
+++ b/router/src/test/java/org/magnoliaseam/suspect/CrashRecordsTest.java
@@ -85,6 +85,26 @@
             assertThat(verdict(2001, whole(2))).isEqualTo(SuspectVerdict.FREE);
         }
 
+        /** Review case 14: copies at one moment counted as one crash, wave after wave. */
+        @Test
+        void copiesThatEndServersOfSeveralDomainsAtOnceCountOnceForEachDomain() {
+            crashIn(1, 1, 1000, whole(1));
+            crashIn(2, 2, 1004, whole(1));
+            crashIn(1, 3, 1005, whole(1));
+            assertThat(verdict(1010, whole(1))).isEqualTo(SuspectVerdict.GUARDED);
+            crashIn(3, 4, 1008, whole(1));
+            assertThat(verdict(1010, whole(1))).isEqualTo(SuspectVerdict.REFUSED);
+        }
+
+        @Test
+        void copiesInADomainThatLosesPowerCountOnce() {
+            for (int server = 0; server < 6; server++) {
+                crashIn(1, server, 1000 + server, whole(1));
+            }
+            crashIn(2, 7, 3000, whole(2));
+            assertThat(verdict(3001, whole(1))).isEqualTo(SuspectVerdict.FREE);
+        }
+
         @Test
         void usualRequestThatIsAnsweredElsewhereIsNotRefusedInASeriesOfCrashes() {
             for (int crash = 1; crash <= 10; crash++) {
@@ -129,7 +149,7 @@
         void crashThatSeveralEntryVmsSawCountsOnce() {
             crash(1, 1000, CRASHING, whole(1));
             CrashNotice notice =
-                    new CrashNotice(1, 3, 90, 3, 3, Set.of(CRASHING, whole(2)), Set.of());
+                    new CrashNotice(1, DOMAIN, 3, 90, 3, 3, Set.of(CRASHING, whole(2)), Set.of());
             mRecords.heard(notice, millis(1010));
             assertThat(verdict(1011, CRASHING)).isEqualTo(SuspectVerdict.GUARDED);
         }
@@ -152,7 +172,14 @@
             assertThat(verdict(later, CRASHING)).isEqualTo(SuspectVerdict.TRIAL);
             mRecords.heard(
                     new CrashNotice(
-                            2, later - 1500, later - 1400, 50, 100, Set.of(CRASHING), Set.of()),
+                            2,
+                            DOMAIN,
+                            later - 1500,
+                            later - 1400,
+                            50,
+                            100,
+                            Set.of(CRASHING),
+                            Set.of()),
                     millis(later));
             assertThat(verdict(later, CRASHING)).isEqualTo(SuspectVerdict.REFUSED);
         }
@@ -165,6 +192,7 @@
             mRecords.heard(
                     new CrashNotice(
                             2,
+                            DOMAIN,
                             later - 1500,
                             later - 1400,
                             1000,
@@ -186,7 +214,8 @@
         @Test
         void negativeAgesAreReadAsNow() {
             mRecords.heard(
-                    new CrashNotice(1, -50_000, Long.MIN_VALUE, -1, -1, Set.of(CRASHING), Set.of()),
+                    new CrashNotice(
+                            1, DOMAIN, -50_000, Long.MIN_VALUE, -1, -1, Set.of(CRASHING), Set.of()),
                     millis(1000));
             mRecords.heard(new AnswerNotice(CRASHING, -1), millis(1001));
             assertThat(verdict(1002, CRASHING)).isEqualTo(SuspectVerdict.FREE);
@@ -212,7 +241,7 @@
             for (int crash = 0; crash < 5000; crash++) {
                 List<RequestMark> marks = new ArrayList<>();
                 marks.add(part("p" + crash));
-                mRecords.crashed(crash, millis(crash), millis(crash - 1), marks);
+                mRecords.crashed(crash, DOMAIN, millis(crash), millis(crash - 1), marks);
                 mRecords.answered(part("a" + crash), millis(crash));
             }
             for (long crash = 0; crash < 5000; crash++) {
--- a/router/src/test/java/org/magnoliaseam/suspect/CrashRefutationTest.java
+++ b/router/src/test/java/org/magnoliaseam/suspect/CrashRefutationTest.java
@@ -93,7 +93,7 @@
                                     part("base" + random.nextInt(3)),
                                     part("part" + random.nextInt(200)),
                                     whole(random.nextInt(100)));
-                    records.crashed(crash, millis(now), millis(now - 100), marks);
+                    records.crashed(crash, DOMAIN, millis(now), millis(now - 100), marks);
                     boolean refused =
                             records.verdict(marks, millis(now + 1)) == SuspectVerdict.REFUSED;
                     assertThat(refused).isFalse();
