--- a/router/src/test/java/org/magnoliaseam/gateway/CrashGuardFixture.java
+++ b/router/src/test/java/org/magnoliaseam/gateway/CrashGuardFixture.java
@@ -57,22 +57,8 @@
             parts.add(new PromptPart(part, 100));
         }
         parts.add(new PromptPart("own-" + id, 100));
-        GatewayRequest like =
-                GatewayFixtures.request(id, STREAM, new Prompt(parts, 100 * parts.size(), 50));
-        return new GatewayRequest(
-                like.id(),
-                like.account(),
-                like.route(),
-                like.service(),
-                like.catalogVersion(),
-                like.method(),
-                like.target(),
-                like.headers(),
-                id.getBytes(StandardCharsets.UTF_8),
-                like.prompt(),
-                "",
-                like.arrivedNanos(),
-                like.deadlineNanos() + 60_000 * MILLI);
+        Prompt prompt = new Prompt(parts, 100 * parts.size(), 50);
+        return GatewayFixtures.request(id, STREAM, prompt, id, 0, 65_000 * MILLI);
     }
 
     /** Ends the connection of the latest attempt. */
--- a/router/src/test/java/org/magnoliaseam/gateway/CrashingPartReplayTest.java
+++ b/router/src/test/java/org/magnoliaseam/gateway/CrashingPartReplayTest.java
@@ -2,7 +2,6 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.List;
@@ -87,21 +86,7 @@
     }
 
     private static GatewayRequest request(String id, long nanos, Prompt prompt) {
-        GatewayRequest like = GatewayFixtures.request(id, REVIEW, prompt);
-        return new GatewayRequest(
-                like.id(),
-                like.account(),
-                REVIEW,
-                like.service(),
-                like.catalogVersion(),
-                like.method(),
-                like.target(),
-                like.headers(),
-                id.getBytes(StandardCharsets.UTF_8),
-                prompt,
-                "",
-                nanos,
-                nanos + 5000 * MILLI);
+        return GatewayFixtures.request(id, REVIEW, prompt, id, nanos, nanos + 5000 * MILLI);
     }
 
     private static double servedAtFirst(Collection<SimulatedOutcome> outcomes) {
--- a/router/src/test/java/org/magnoliaseam/gateway/GatewayFixtures.java
+++ b/router/src/test/java/org/magnoliaseam/gateway/GatewayFixtures.java
@@ -1,6 +1,7 @@
 package org.magnoliaseam.gateway;
 
 import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
@@ -67,6 +68,16 @@
     }
 
     static GatewayRequest request(String id, Route route, Prompt prompt) {
+        return request(id, route, prompt, "", 0, 5000 * MILLI);
+    }
+
+    static GatewayRequest request(
+            String id,
+            Route route,
+            Prompt prompt,
+            String body,
+            long arrivedNanos,
+            long deadlineNanos) {
         ServiceName name = route.services().get(0).service();
         return new GatewayRequest(
                 new RequestId(id),
@@ -77,11 +88,11 @@
                 "POST",
                 "/p/1",
                 List.of(),
-                new byte[0],
+                body.getBytes(StandardCharsets.UTF_8),
                 prompt,
                 "",
-                0,
-                5000 * MILLI);
+                arrivedNanos,
+                deadlineNanos);
     }
 
     static Prompt prompt(String shared, int sharedTokens, int ownTokens) {
--- a/router/src/test/java/org/magnoliaseam/gateway/LateCrashReplayTest.java
+++ b/router/src/test/java/org/magnoliaseam/gateway/LateCrashReplayTest.java
@@ -2,7 +2,6 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
@@ -42,22 +41,8 @@
             parts.add(new PromptPart(part, 500));
         }
         parts.add(new PromptPart("own-" + body, 500));
-        GatewayRequest like =
-                GatewayFixtures.request(id, STREAM, new Prompt(parts, 500 * parts.size(), 100));
-        return new GatewayRequest(
-                like.id(),
-                like.account(),
-                like.route(),
-                like.service(),
-                like.catalogVersion(),
-                like.method(),
-                like.target(),
-                like.headers(),
-                body.getBytes(StandardCharsets.UTF_8),
-                like.prompt(),
-                "",
-                nanos,
-                nanos + 8000 * MILLI);
+        Prompt prompt = new Prompt(parts, 500 * parts.size(), 100);
+        return GatewayFixtures.request(id, STREAM, prompt, body, nanos, nanos + 8000 * MILLI);
     }
 
     /** Adds streams of 2 s, each of which is sent once more if it has no complete answer. */
--- a/router/src/test/java/org/magnoliaseam/gateway/ResettingServersReplayTest.java
+++ b/router/src/test/java/org/magnoliaseam/gateway/ResettingServersReplayTest.java
@@ -35,23 +35,10 @@
                 List.of(
                         new PromptPart("part-" + part, 341),
                         new PromptPart("own-" + mOutcomes.size(), 200));
-        GatewayRequest like =
-                GatewayFixtures.request("q" + mOutcomes.size(), QUERY, new Prompt(parts, 541, 6));
+        String id = "q" + mOutcomes.size();
+        Prompt prompt = new Prompt(parts, 541, 6);
         GatewayRequest request =
-                new GatewayRequest(
-                        like.id(),
-                        like.account(),
-                        like.route(),
-                        like.service(),
-                        like.catalogVersion(),
-                        like.method(),
-                        like.target(),
-                        like.headers(),
-                        new byte[] {(byte) mOutcomes.size(), (byte) (mOutcomes.size() >> 8)},
-                        like.prompt(),
-                        "",
-                        nanos,
-                        nanos + 3_000 * MILLI);
+                GatewayFixtures.request(id, QUERY, prompt, id, nanos, nanos + 3_000 * MILLI);
         mOutcomes.add(fleet.request(nanos, request));
     }
 
